--- a/src/bin/dunlinwind-wirehost/main.rs
+++ b/src/bin/asterreel-adapter/main.rs
@@ -35,6 +35,6 @@
 }
 
 fn stop(fault: &str) -> ExitCode {
-    eprintln!("dunlinwind-wirehost: {fault}");
+    eprintln!("asterreel-adapter: {fault}");
     ExitCode::FAILURE
 }
--- a/src/bin/dunlinwind-wirehost/wire.rs
+++ b/src/bin/asterreel-adapter/wire.rs
@@ -4,8 +4,8 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 
-use dunlinwind::interface::*;
-use dunlinwind::policy::Router;
+use asterreel::interface::*;
+use asterreel::policy::Router;
 use serde::{Deserialize, Serialize};
 
 #[derive(Deserialize)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,4 @@
-//! The decisions of dunlinwind. The types it uses, takes in and gives back are in `src/interface.rs`.
+//! The decisions of asterreel. The types it uses, takes in and gives back are in `src/interface.rs`.
 //!
 //! The mechanism, kept per group by each front on its own:
 //! 1. A bad result adds one to a member's error counter, a good one sets it to 0; at the fail point it fails.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A front to test with: a router, its clock, and what it did.
 #![allow(dead_code)]
 
-use dunlinwind::interface::*;
-use dunlinwind::policy::Router;
+use asterreel::interface::*;
+use asterreel::policy::Router;
 
 pub const MS: Micros = 1_000;
 pub const START: Micros = 100_000_000;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules, one by one and over arbitrary legal event sequences.
 mod common;
 use common::*;
-use dunlinwind::interface::*;
+use asterreel::interface::*;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -98,7 +98,7 @@
 fn settings_that_contradict_themselves_are_an_error() {
     let mut settings = settings();
     settings.bounds.pop();
-    assert!(dunlinwind::policy::Router::new(settings, 1, 0).is_err());
+    assert!(asterreel::policy::Router::new(settings, 1, 0).is_err());
 }
 
 #[test]
