--- a/src/bin/asterreel-adapter/wire.rs
+++ b/src/bin/asterreel-adapter/wire.rs
@@ -6,6 +6,7 @@
 
 use asterreel::interface::*;
 use asterreel::policy::Router;
+use asterreel::settings::{Item, Setup};
 use serde::{Deserialize, Serialize};
 
 #[derive(Deserialize)]
@@ -62,23 +63,6 @@
     items: Vec<Item>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Item {
-    #[serde(default)]
-    campus: u32,
-    state: String,
-    #[serde(default)]
-    ready_at_us: Micros,
-    #[serde(default)]
-    writer: f64,
-    #[serde(default)]
-    cell: u64,
-    #[serde(default)]
-    size: f64,
-    store: String,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct View {
@@ -143,103 +127,6 @@
     feedback: Option<Vec<Option<f64>>>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Setup {
-    allowed: Allowed,
-    #[serde(default)]
-    customers: Vec<Customer>,
-    discovery: String,
-    family_info: FamilyInfo,
-    fleet_size: u32,
-    #[serde(default)]
-    over_share_worth: f64,
-    period_us: Micros,
-    profiles: Vec<Profile>,
-    #[serde(default)]
-    report: Report,
-    rules: Rules,
-    #[serde(default)]
-    zone: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Allowed {
-    #[serde(default)]
-    cancel: bool,
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after_us: Micros,
-    #[serde(default)]
-    may_probe: bool,
-    #[serde(default)]
-    parallel_tries: bool,
-    #[serde(default)]
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Customer {
-    #[serde(default)]
-    quota_rps: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct FamilyInfo {
-    checks: String,
-    consistency: Vec<String>,
-    #[serde(default)]
-    position_zero_us: Micros,
-    #[serde(default)]
-    progress_told: bool,
-    role_listed: String,
-    session_marks: String,
-    staleness_bound_us: Vec<Micros>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Profile {
-    #[serde(default)]
-    aim_stretch: f64,
-    deadline_us: Micros,
-    #[serde(default)]
-    dedup_window_us: Micros,
-    effect: String,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    late_worth: f64,
-    slo_us: Micros,
-    worth: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Report {
-    #[serde(default)]
-    names: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Rules {
-    #[serde(default)]
-    answer_slack_us: Micros,
-    #[serde(default)]
-    ask_every_us: Micros,
-    cold_us: Micros,
-    drain_grace_us: Micros,
-    fall_multiple: f64,
-    fall_us: Micros,
-    start_capacity: f64,
-    #[serde(default)]
-    dropped_stay_open: bool,
-}
-
 #[derive(Serialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 enum Output<'a> {
@@ -282,6 +169,7 @@
     router: Router,
     zero: Micros,
     report: Vec<String>,
+    zones: Vec<String>,
     ids: HashMap<String, RequestId>,
     jobs: HashMap<RequestId, Job>,
     next_id: u64,
@@ -370,12 +258,14 @@
     fn new(new: NewInstance, now: Micros) -> Result<Self, String> {
         let zero = new.setup.family_info.position_zero_us;
         let report = new.setup.report.names.clone();
-        let settings = settings(new.setup)?;
+        let zones = new.setup.zones.clone();
+        let settings = new.setup.settings().map_err(|fault| format!("NEW_INSTANCE: {fault}"))?;
         let router = Router::new(settings, new.entropy, now).map_err(|fault| fault.to_string())?;
         Ok(Instance {
             router,
             zero,
             report,
+            zones,
             ids: HashMap::new(),
             jobs: HashMap::new(),
             next_id: 0,
@@ -567,20 +457,8 @@
     }
 
     fn entry(&mut self, item: &Item) -> Result<Entry, String> {
-        Ok(Entry {
-            member: self.member(&item.store),
-            group: GroupId(item.cell),
-            zone: ZoneId(item.campus),
-            state: match item.state.as_str() {
-                "on" => EntryState::On,
-                "fading" => EntryState::Draining,
-                "off" => EntryState::Gone,
-                other => return Err(format!("DEFINE_LIST: unknown state {other}")),
-            },
-            started: item.ready_at_us,
-            role: if item.writer > 0.5 { Role::Primary } else { Role::Replica },
-            size: item.size,
-        })
+        let member = self.member(&item.store);
+        item.entry(member, &self.zones).map_err(|fault| format!("DEFINE_LIST: {fault}"))
     }
 
     fn member(&mut self, store: &str) -> MemberId {
@@ -620,103 +498,3 @@
         other => return Err(format!("unknown result {other}")),
     })
 }
-
-fn permit(allowed: bool) -> Permit {
-    if allowed {
-        Permit::Allowed
-    } else {
-        Permit::Forbidden
-    }
-}
-
-fn unknown(what: &str, word: &str) -> String {
-    format!("NEW_INSTANCE: unknown {what} {word}")
-}
-
-fn settings(setup: Setup) -> Result<Settings, String> {
-    let family = setup.family_info;
-    let classes: Result<Vec<Class>, String> = setup.profiles.iter().map(class).collect();
-    let needs: Result<Vec<Need>, String> = family.consistency.iter().map(|n| need(n)).collect();
-    Ok(Settings {
-        classes: classes?,
-        needs: needs?,
-        bounds: family.staleness_bound_us,
-        tenants: setup.customers.iter().map(|customer| Tenant { quota: customer.quota_rps }).collect(),
-        over_share_worth: setup.over_share_worth,
-        fleet: setup.fleet_size,
-        zone: ZoneId(setup.zone),
-        discovery: match setup.discovery.as_str() {
-            "automatic" => Discovery::Push,
-            "subscribe" => Discovery::Ask,
-            other => return Err(unknown("discovery", other)),
-        },
-        checks: match family.checks.as_str() {
-            "none" => Checks::None,
-            "bounce" | "await" => Checks::TurnsAway,
-            other => return Err(unknown("checks", other)),
-        },
-        tokens: match family.session_marks.as_str() {
-            "brought" => Tokens::Carried,
-            "kept" => Tokens::Remembered,
-            other => return Err(unknown("session marks", other)),
-        },
-        positions: permit(family.progress_told),
-        listed_role: match family.role_listed.as_str() {
-            "trailing" => ListedRole::Late,
-            "static" => ListedRole::Start,
-            "none" => ListedRole::Never,
-            other => return Err(unknown("listed role", other)),
-        },
-        probes: permit(setup.allowed.may_probe),
-        cancel: permit(setup.allowed.cancel),
-        parallel: permit(setup.allowed.parallel_tries),
-        come_back: permit(setup.allowed.retry_after),
-        max_come_back: setup.allowed.max_retry_after_us,
-        max_attempts: setup.allowed.max_attempts,
-        period: setup.period_us,
-        answer_slack: setup.rules.answer_slack_us,
-        drain_grace: setup.rules.drain_grace_us,
-        drain_binds: if setup.rules.dropped_stay_open {
-            DrainBinds::DrainingOnly
-        } else {
-            DrainBinds::DrainingAndGone
-        },
-        ask_every: setup.rules.ask_every_us,
-        cold_share: setup.rules.start_capacity,
-        cold_for: setup.rules.cold_us,
-        fall_multiple: setup.rules.fall_multiple,
-        fall_for: setup.rules.fall_us,
-    })
-}
-
-fn class(profile: &Profile) -> Result<Class, String> {
-    let scope = match profile.group.as_str() {
-        "zone" => Scope::Zone,
-        "cell" => Scope::Group,
-        _ => Scope::All,
-    };
-    Ok(Class {
-        effect: match profile.effect.as_str() {
-            "free" => Effect::Safe,
-            "guarded" => Effect::Keyed { scope, window: profile.dedup_window_us },
-            "single_shot" => Effect::Unsafe,
-            other => return Err(unknown("effect", other)),
-        },
-        aim: profile.slo_us,
-        aim_stretch: profile.aim_stretch,
-        deadline: profile.deadline_us,
-        worth: profile.worth,
-        late_worth: profile.late_worth,
-    })
-}
-
-fn need(word: &str) -> Result<Need, String> {
-    Ok(match word {
-        "mutate" => Need::Write,
-        "strong" => Need::Fresh,
-        "causal" => Need::Session,
-        "lag_bound" => Need::Bounded,
-        "eventual" => Need::Any,
-        other => return Err(unknown("consistency", other)),
-    })
-}
--- /dev/null
+++ b/src/bin/asterreel/attempt.rs
@@ -0,0 +1,174 @@
+//! One attempt at a database, from its connection to its outcome.
+
+use crate::clock::Clock;
+use crate::net::Stream;
+use crate::pg::{self, Answer, Statement, Verdict};
+use crate::pool::{Connection, NoConnection, Pool};
+use asterreel::interface::{Micros, Note, Outcome};
+use may::io::WaitIoWaker;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+/// How long after its verdict the rest of an answer, which holds the note, is waited for.
+const NOTE_WAIT: Micros = 50_000;
+
+/// When to stop waiting: at a time, or when told.
+pub struct Stop {
+    pub at: Micros,
+    called_off: AtomicBool,
+    waker: Mutex<Option<WaitIoWaker>>,
+}
+
+impl Stop {
+    pub fn at(at: Micros) -> Stop {
+        Stop { at, called_off: AtomicBool::new(false), waker: Mutex::new(None) }
+    }
+
+    /// Calls the attempt off, wherever it is.
+    pub fn call_off(&self) {
+        self.called_off.store(true, Ordering::Release);
+        if let Some(waker) = self.waker.lock().unwrap_or_else(PoisonError::into_inner).as_ref() {
+            waker.wakeup();
+        }
+    }
+
+    fn is_called_off(&self) -> bool {
+        self.called_off.load(Ordering::Acquire)
+    }
+
+    fn wakes(&self, waker: WaitIoWaker) {
+        *self.waker.lock().unwrap_or_else(PoisonError::into_inner) = Some(waker);
+    }
+}
+
+/// How an exchange broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// The connection broke or ended, before (`false`) or after the last byte was written.
+    Connection { written: bool },
+    /// Its time was over, or it was called off.
+    Stopped { written: bool },
+    /// What came back is not the protocol.
+    Malformed,
+}
+
+/// Writes a message and reads its answer up to ReadyForQuery.
+pub fn exchange(
+    stream: &mut Stream,
+    query: &[u8],
+    answer: &mut Answer,
+    stop: &Stop,
+    clock: Clock,
+) -> Result<(), Broken> {
+    stop.wakes(stream.waker());
+    let mut alarm = stream.timer.alarm(stop.at, stream.waker());
+    let go_on = || !stop.is_called_off() && clock.now() < stop.at;
+    if !go_on() {
+        return Err(Broken::Stopped { written: false });
+    }
+    if let Err(error) = stream.write_all(query, go_on) {
+        let stopped = error.kind() == std::io::ErrorKind::TimedOut;
+        let written = false;
+        return Err(if stopped { Broken::Stopped { written } } else { Broken::Connection { written } });
+    }
+    let mut note_until = Micros::MAX;
+    loop {
+        while let Some(message) = pg::message(stream.buffer.data()).map_err(|_| Broken::Malformed)? {
+            let bytes = stream.buffer.data();
+            let whole = &bytes[..message.body.end];
+            answer.take(message.tag, whole, &bytes[message.body.clone()]).map_err(|_| Broken::Malformed)?;
+            stream.buffer.consume(message.body.end);
+            if answer.ready {
+                return Ok(());
+            }
+        }
+        match stream.read_now() {
+            Ok(Some(0)) | Err(_) => return Err(Broken::Connection { written: true }),
+            Ok(Some(_)) => continue,
+            Ok(None) => {}
+        }
+        if answer.verdict.is_some() && note_until == Micros::MAX {
+            // The verdict stands; a database that falls silent before its note must not hold it back.
+            note_until = clock.now() + NOTE_WAIT;
+            alarm = stream.timer.alarm(note_until.min(stop.at), stream.waker());
+        }
+        if !go_on() || clock.now() >= note_until {
+            drop(alarm);
+            return Err(Broken::Stopped { written: true });
+        }
+        stream.wait();
+    }
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct End {
+    pub outcome: Outcome,
+    pub note: Note,
+    /// The row, in messages as the database sent them, where it was served.
+    pub rows: Vec<u8>,
+}
+
+impl End {
+    fn without_note(outcome: Outcome) -> End {
+        End { outcome, note: Note::default(), rows: Vec::new() }
+    }
+}
+
+/// Makes one attempt; nothing is ever sent twice in here.
+pub fn run(pool: &Pool, address: SocketAddr, statement: &Statement, stop: &Stop) -> End {
+    let mut connection = match pool.take(address).map_or_else(|| pool.open(address, stop.at), Ok) {
+        Ok(connection) => connection,
+        Err(fault) => return End::without_note(unconnected(fault, pool.clock.now() >= stop.at)),
+    };
+    let left = stop.at.saturating_sub(pool.clock.now());
+    let query = statement.forward((left / 1000).max(1));
+    let mut answer = Answer::default();
+    let end = exchange(&mut connection.stream, &query, &mut answer, stop, pool.clock);
+    finish(pool, address, connection, end, &answer);
+    let outcome = outcome(end, answer.verdict.as_ref(), stop.is_called_off());
+    End { outcome, note: answer.note, rows: answer.rows }
+}
+
+/// Keeps a connection whose answer is complete; abandoning any other attempt closes its connection.
+pub fn finish(
+    pool: &Pool,
+    address: SocketAddr,
+    connection: Connection,
+    end: Result<(), Broken>,
+    answer: &Answer,
+) {
+    if end.is_ok() && answer.verdict.is_some() && connection.stream.buffer.data().is_empty() {
+        pool.keep(address, connection);
+    }
+}
+
+/// Without a connection nothing ran, whatever the reason.
+pub fn unconnected(fault: NoConnection, time_over: bool) -> Outcome {
+    match fault {
+        NoConnection::TurnedAway => Outcome::Full,
+        NoConnection::NoRoom => Outcome::Moot,
+        NoConnection::Failed if time_over => Outcome::Moot,
+        NoConnection::Failed => Outcome::ConnectFailed,
+    }
+}
+
+/// The table of outcomes: what can have run, and what can't.
+pub fn outcome(end: Result<(), Broken>, verdict: Option<&Verdict>, called_off: bool) -> Outcome {
+    match (verdict, end) {
+        (Some(Verdict::Row), _) => Outcome::Served,
+        (Some(Verdict::Error(code)), _) => match code {
+            b"25006" | b"72000" => Outcome::Miss,
+            b"53300" => Outcome::Full,
+            _ => Outcome::Error,
+        },
+        // A database starts a query once its last byte has come: one not written whole never runs.
+        (None, Err(Broken::Connection { written: false })) => Outcome::ConnectFailed,
+        (None, Err(Broken::Stopped { written: false })) => Outcome::Moot,
+        (None, Err(Broken::Connection { written: true })) => Outcome::Reset,
+        (None, Err(Broken::Stopped { written: true })) if called_off => Outcome::Cancelled,
+        (None, Err(Broken::Stopped { written: true })) => Outcome::TimedOut,
+        (None, Ok(()) | Err(Broken::Malformed)) => Outcome::Error,
+    }
+}
--- /dev/null
+++ b/src/bin/asterreel/client.rs
@@ -0,0 +1,439 @@
+//! Clients: accepting them, their sessions, and the life of each request.
+
+use crate::attempt::{self, End, Stop};
+use crate::core::{Core, Inbox, Order};
+use crate::net::{spawn, Stream};
+use crate::pg::{self, Malformed, Opening, Severity, Statement};
+use crate::pool::Pool;
+use asterreel::interface::*;
+use asterreel::settings::Setup;
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpListener;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use tracing::{debug, warn};
+
+/// How long a client may take to read an answer.
+const WRITE_WAIT: Micros = 5_000_000;
+/// How long after a request's deadline the session answers by itself, should the module have said nothing.
+const OVERDUE: Micros = 10_000;
+/// Wait before the next try after accepting failed or found no room.
+const ACCEPT_AGAIN: Micros = 5_000;
+
+/// What all sessions share.
+pub struct Gateway {
+    pub core: Arc<Core>,
+    pub pool: Arc<Pool>,
+    classes: Vec<String>,
+    needs: Vec<Need>,
+    most_sessions: usize,
+    draining: AtomicBool,
+    sessions: Mutex<BTreeMap<u64, Arc<Mailbox>>>,
+    next_session: AtomicUsize,
+}
+
+impl Gateway {
+    pub fn new(core: Arc<Core>, pool: Arc<Pool>, setup: &Setup, needs: &[Need], most: usize) -> Gateway {
+        Gateway {
+            core,
+            pool,
+            classes: setup.profiles.iter().map(|class| class.name.clone()).collect(),
+            needs: needs.to_vec(),
+            most_sessions: most,
+            draining: AtomicBool::new(false),
+            sessions: Mutex::default(),
+            next_session: AtomicUsize::new(0),
+        }
+    }
+
+    fn sessions<T>(&self, work: impl FnOnce(&mut BTreeMap<u64, Arc<Mailbox>>) -> T) -> T {
+        work(&mut self.sessions.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// From now on connections are closed between requests.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+        self.sessions(|sessions| sessions.values().for_each(|mailbox| mailbox.waker.wakeup()));
+    }
+
+    /// Sessions that are open.
+    pub fn open_sessions(&self) -> usize {
+        self.sessions(|sessions| sessions.len())
+    }
+
+    /// Asks one session that is between requests to make room.
+    fn shed_one(&self) {
+        self.sessions(|sessions| {
+            let idle = |mailbox: &&Arc<Mailbox>| mailbox.idle.load(Ordering::Acquire);
+            if let Some(mailbox) = sessions.values().find(idle) {
+                mailbox.close.store(true, Ordering::Release);
+                mailbox.waker.wakeup();
+            }
+        });
+    }
+}
+
+/// Accepts clients for as long as the process runs. Running out of descriptors only makes the next one wait.
+pub fn accept(gateway: &Arc<Gateway>, listener: &TcpListener) {
+    loop {
+        let pause = || {
+            let at = gateway.core.clock.now() + ACCEPT_AGAIN;
+            let alarm = gateway.core.timer.alarm(at, listener.waker());
+            listener.wait_io();
+            drop(alarm);
+        };
+        if gateway.open_sessions() >= gateway.most_sessions {
+            gateway.shed_one();
+            pause();
+            continue;
+        }
+        match listener.accept() {
+            Ok((socket, _)) => {
+                let stream = Stream::new(socket, gateway.core.timer.clone());
+                let gateway = gateway.clone();
+                // Registered here, so that the limit counts sessions that have not begun yet.
+                let number = gateway.next_session.fetch_add(1, Ordering::Relaxed) as u64;
+                let mailbox = Arc::new(Mailbox::new(stream.waker()));
+                gateway.sessions(|sessions| sessions.insert(number, mailbox.clone()));
+                spawn(move || {
+                    let mut session = Session { gateway, stream, mailbox, left: false };
+                    if let Err(end) = session.run() {
+                        debug!("session ended: {end:?}");
+                    }
+                    let gateway = session.gateway.clone();
+                    drop(session);
+                    gateway.sessions(|sessions| sessions.remove(&number));
+                });
+            }
+            Err(error) => {
+                warn!("accept: {error}");
+                pause();
+            }
+        }
+    }
+}
+
+/// What a session waits for, beside its client.
+enum Notice {
+    Order(Order),
+    Ended(AttemptNo, End),
+    /// The client has closed its connection.
+    Left,
+    /// The deadline has passed without a final answer.
+    Overdue,
+}
+
+struct Mailbox {
+    notices: Mutex<VecDeque<Notice>>,
+    waker: WaitIoWaker,
+    idle: AtomicBool,
+    close: AtomicBool,
+}
+
+impl Mailbox {
+    fn new(waker: WaitIoWaker) -> Mailbox {
+        Mailbox {
+            notices: Mutex::default(),
+            waker,
+            idle: AtomicBool::new(true),
+            close: AtomicBool::new(false),
+        }
+    }
+
+    fn post(&self, notice: Notice) {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner).push_back(notice);
+        self.waker.wakeup();
+    }
+
+    fn take(&self) -> Option<Notice> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
+    }
+}
+
+impl Inbox for Mailbox {
+    fn order(&self, order: Order) {
+        self.post(Notice::Order(order));
+    }
+}
+
+/// Why a session ended early.
+#[derive(Debug)]
+enum Ending {
+    Left,
+    Malformed,
+}
+
+/// One client connection.
+struct Session {
+    gateway: Arc<Gateway>,
+    stream: Stream,
+    mailbox: Arc<Mailbox>,
+    left: bool,
+}
+
+impl Session {
+    fn run(&mut self) -> Result<(), Ending> {
+        loop {
+            match pg::opening(self.stream.buffer.data()) {
+                Ok(Some((opening, length))) => {
+                    self.stream.buffer.consume(length);
+                    match opening {
+                        Opening::Encrypt => self.write(b"N")?,
+                        Opening::Cancel => return Ok(()),
+                        Opening::Start => break,
+                    }
+                }
+                Ok(None) => {
+                    if !self.read_more()? {
+                        return Ok(());
+                    }
+                }
+                Err(fault) => return self.fatal(fault),
+            }
+        }
+        let mut out = Vec::new();
+        pg::welcome(&mut out);
+        self.write(&out)?;
+        // After an error in the extended protocol everything up to Sync is skipped.
+        let mut skipping = false;
+        loop {
+            let message = match pg::message(self.stream.buffer.data()) {
+                Ok(Some(message)) => message,
+                Ok(None) => {
+                    if !self.read_more()? {
+                        return Ok(());
+                    }
+                    continue;
+                }
+                Err(fault) => return self.fatal(fault),
+            };
+            let received = self.gateway.core.clock.now();
+            let body = &self.stream.buffer.data()[message.body.clone()];
+            let mut out = Vec::new();
+            match message.tag {
+                b'Q' => {
+                    skipping = false;
+                    let parsed = pg::query(body).map(|text| (plain(text), Statement::parse(text)));
+                    self.stream.buffer.consume(message.body.end);
+                    match parsed {
+                        Ok((Some(Plain::Empty), _)) => pg::empty_query_response(&mut out),
+                        Ok((Some(Plain::Session(tag)), _)) => pg::command_complete(&mut out, tag),
+                        Ok((None, Ok(statement))) => self.request(statement, received, &mut out)?,
+                        Ok((None, Err(Malformed(fault)))) => {
+                            pg::error(&mut out, Severity::Error, "08P01", fault, None);
+                        }
+                        Err(fault) => return self.fatal(fault),
+                    }
+                    pg::ready(&mut out);
+                }
+                b'X' => return Ok(()),
+                b'S' => {
+                    self.stream.buffer.consume(message.body.end);
+                    skipping = false;
+                    pg::ready(&mut out);
+                }
+                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' | b'd' | b'c' | b'f' => {
+                    self.stream.buffer.consume(message.body.end);
+                    if !std::mem::replace(&mut skipping, true) {
+                        let text = "only simple queries are served here";
+                        pg::error(&mut out, Severity::Error, "0A000", text, None);
+                    }
+                }
+                _ => return self.fatal(Malformed("unknown message")),
+            }
+            self.write(&out)?;
+        }
+    }
+
+    /// Waits for more bytes between requests; false when the connection is to be closed instead.
+    fn read_more(&mut self) -> Result<bool, Ending> {
+        self.mailbox.idle.store(true, Ordering::Release);
+        loop {
+            match self.stream.read_now() {
+                Ok(Some(0)) | Err(_) => return Err(Ending::Left),
+                Ok(Some(_)) => break,
+                Ok(None) => {}
+            }
+            // Asked to close: only after a last look for a request that has come, and never inside one.
+            let close = self.mailbox.close.load(Ordering::Acquire);
+            let drains = self.gateway.draining.load(Ordering::Acquire);
+            if (close || drains) && self.stream.buffer.data().is_empty() {
+                return Ok(false);
+            }
+            self.stream.wait();
+        }
+        self.mailbox.idle.store(false, Ordering::Release);
+        Ok(true)
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Result<(), Ending> {
+        let core = self.gateway.core.clone();
+        let until = core.clock.now() + WRITE_WAIT;
+        let _alarm = core.timer.alarm(until, self.stream.waker());
+        let written = self.stream.write_all(bytes, || core.clock.now() < until);
+        written.map_err(|_| Ending::Left)
+    }
+
+    /// Framing is lost: say so and end.
+    fn fatal(&mut self, fault: Malformed) -> Result<(), Ending> {
+        let mut out = Vec::new();
+        pg::error(&mut out, Severity::Fatal, "08P01", fault.0, None);
+        self.write(&out)?;
+        Err(Ending::Malformed)
+    }
+
+    /// The life of one request, from its arrival to its final answer, which is appended to `out`.
+    fn request(&mut self, statement: Statement, received: Micros, out: &mut Vec<u8>) -> Result<(), Ending> {
+        let core = self.gateway.core.clone();
+        let Some(class) = self.gateway.classes.iter().position(|name| *name == statement.class) else {
+            pg::error(out, Severity::Error, "08P01", "unknown class", None);
+            return Ok(());
+        };
+        let due = received.saturating_add(statement.wait_ms.saturating_mul(1000));
+        let overdue = due.saturating_add(OVERDUE);
+        let _alarm = core.timer.alarm(overdue, self.stream.waker());
+        let statement = Arc::new(statement);
+        let id = core.arrive(self.arrival(&statement, class, due), self.mailbox.clone());
+        // Attempts by number: where they went, when, and how to call them off.
+        let mut attempts: Vec<(Micros, Arc<Stop>)> = Vec::new();
+        let (mut out_now, mut owed) = (0u32, true);
+        while owed || out_now > 0 {
+            match self.next(owed.then_some(overdue)) {
+                Notice::Order(Order::Send { address, until }) => {
+                    let stop = Arc::new(Stop::at(until));
+                    let number = AttemptNo(attempts.len() as u32);
+                    attempts.push((core.clock.now(), stop.clone()));
+                    out_now += 1;
+                    self.attempt(number, address, statement.clone(), stop);
+                }
+                Notice::Order(Order::Cancel(number)) => {
+                    if let Some((_, stop)) = attempts.get(number.0 as usize) {
+                        stop.call_off();
+                    }
+                }
+                Notice::Order(Order::Refuse(come_back)) if owed => {
+                    owed = false;
+                    let wait = come_back.map(|micros| micros.div_ceil(1000));
+                    pg::error(out, Severity::Error, "53300", "refused, try again", wait);
+                }
+                Notice::Order(Order::Fail) if owed => {
+                    owed = false;
+                    pg::error(out, Severity::Error, "58000", "failed", None);
+                }
+                Notice::Order(Order::Refuse(_) | Order::Fail) => {}
+                Notice::Ended(attempt, end) => {
+                    out_now -= 1;
+                    let served = end.outcome == Outcome::Served;
+                    let finished = served || !owed;
+                    let sent = attempts.get(attempt.0 as usize).map_or(received, |(sent, _)| *sent);
+                    if served && owed {
+                        owed = false;
+                        out.extend_from_slice(&end.rows);
+                    }
+                    core.ended(Ended {
+                        request: id,
+                        attempt,
+                        outcome: end.outcome,
+                        latency: core.clock.now().saturating_sub(sent),
+                        note: end.note,
+                        report: Note::default(),
+                        standing: if finished { Standing::Finished } else { Standing::Owed },
+                    });
+                }
+                Notice::Left | Notice::Overdue => {
+                    if owed {
+                        warn!(left = self.left, "request ended without the module's answer");
+                        pg::error(out, Severity::Error, "58000", "out of time", None);
+                    }
+                    owed = false;
+                    core.departed(id);
+                }
+            }
+        }
+        core.forget(id);
+        if self.left {
+            return Err(Ending::Left);
+        }
+        Ok(())
+    }
+
+    /// What comes next for the request in hand.
+    fn next(&mut self, overdue: Option<Micros>) -> Notice {
+        loop {
+            if let Some(notice) = self.mailbox.take() {
+                return notice;
+            }
+            // Read on, to notice when the client leaves; what it sends ahead stays in the buffer, up to a limit.
+            if !self.left && self.stream.buffer.data().len() < pg::LONGEST {
+                match self.stream.read_now() {
+                    Ok(Some(0)) | Err(_) => {
+                        self.left = true;
+                        return Notice::Left;
+                    }
+                    Ok(Some(_)) => continue,
+                    Ok(None) => {}
+                }
+            }
+            if overdue.is_some_and(|at| self.gateway.core.clock.now() >= at) {
+                return Notice::Overdue;
+            }
+            self.stream.wait();
+        }
+    }
+
+    fn attempt(
+        &self,
+        number: AttemptNo,
+        address: std::net::SocketAddr,
+        statement: Arc<Statement>,
+        stop: Arc<Stop>,
+    ) {
+        let (pool, mailbox) = (self.gateway.pool.clone(), self.mailbox.clone());
+        spawn(move || {
+            let end = attempt::run(&pool, address, &statement, &stop);
+            mailbox.post(Notice::Ended(number, end));
+        });
+    }
+
+    fn arrival(&self, statement: &Statement, class: usize, due: Micros) -> Arrival {
+        let now = self.gateway.core.clock.now();
+        let in_session = matches!(self.gateway.needs[class], Need::Write | Need::Session);
+        let after = statement.after.map(|after| after.saturating_mul(1000));
+        Arrival {
+            request: RequestId(0),
+            class: ClassId(class),
+            tenant: TenantId(0),
+            session: in_session.then(|| session_id(&statement.key)),
+            due,
+            estimate: None,
+            group: GroupId(statement.cluster),
+            since_write: after.filter(|after| *after > 0).map(|after| now.saturating_sub(after)),
+        }
+    }
+}
+
+fn session_id(key: &[u8]) -> SessionId {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    SessionId(hasher.finish())
+}
+
+/// A statement that is answered here.
+enum Plain {
+    Empty,
+    Session(&'static str),
+}
+
+fn plain(text: &[u8]) -> Option<Plain> {
+    let text = text.trim_ascii();
+    let word = text.split(|byte| byte.is_ascii_whitespace() || *byte == b';').next().unwrap_or_default();
+    if text.iter().all(|byte| *byte == b';' || byte.is_ascii_whitespace()) {
+        return Some(Plain::Empty);
+    }
+    ["SET", "RESET", "DISCARD"]
+        .into_iter()
+        .find(|tag| word.eq_ignore_ascii_case(tag.as_bytes()))
+        .map(Plain::Session)
+}
--- /dev/null
+++ b/src/bin/asterreel/core.rs
@@ -0,0 +1,201 @@
+//! One router behind a lock: takes in events, hands its actions to whom they concern.
+//!
+//! Nothing here knows the protocol that clients or members speak. The lock is never held over a wait.
+
+use crate::clock::Clock;
+use crate::timer::Timer;
+use asterreel::config::{Config, Listing};
+use asterreel::interface::*;
+use asterreel::policy::Router;
+use may::sync::mpsc::Sender;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use tracing::{info, warn};
+
+/// What the module wants done for one request.
+#[derive(Debug)]
+pub enum Order {
+    /// Send an attempt, to be waited for until this time.
+    Send { address: SocketAddr, until: Micros },
+    /// Call an attempt off.
+    Cancel(AttemptNo),
+    /// Final answer: refused.
+    Refuse(Option<Micros>),
+    /// Final answer: failed.
+    Fail,
+}
+
+/// Where a request's orders go; must not wait.
+pub trait Inbox: Send + Sync {
+    fn order(&self, order: Order);
+}
+
+pub struct Core {
+    pub clock: Clock,
+    pub timer: Arc<Timer>,
+    state: Mutex<State>,
+}
+
+struct State {
+    router: Router,
+    inboxes: HashMap<RequestId, (Arc<dyn Inbox>, Micros)>,
+    requests: u64,
+    members: HashMap<String, MemberId>,
+    /// By [`MemberId`]: name and where it listens.
+    places: Vec<(String, Option<SocketAddr>)>,
+    zones: Vec<String>,
+    actions: Vec<Action>,
+    probes: Sender<(MemberId, SocketAddr)>,
+    watches: Sender<()>,
+}
+
+impl Core {
+    pub fn new(
+        config: &Config,
+        clock: Clock,
+        timer: Arc<Timer>,
+        probes: Sender<(MemberId, SocketAddr)>,
+        watches: Sender<()>,
+    ) -> Result<Core, BadSettings> {
+        let router = Router::new(config.settings.clone(), config.seed, clock.now())?;
+        let state = State {
+            router,
+            inboxes: HashMap::new(),
+            requests: 0,
+            members: HashMap::new(),
+            places: Vec::new(),
+            zones: config.setup.zones.clone(),
+            actions: Vec::new(),
+            probes,
+            watches,
+        };
+        Ok(Core { clock, timer, state: Mutex::new(state) })
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut State) -> T) -> T {
+        work(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn feed(&self, event: Event) {
+        self.with(|state| state.feed(self, event));
+    }
+
+    /// A request came in; its orders go to the inbox until [`Core::forget`].
+    pub fn arrive(&self, mut arrival: Arrival, inbox: Arc<dyn Inbox>) -> RequestId {
+        self.with(|state| {
+            state.requests += 1;
+            arrival.request = RequestId(state.requests);
+            state.inboxes.insert(arrival.request, (inbox, arrival.due));
+            state.feed(self, Event::Arrive(arrival));
+            arrival.request
+        })
+    }
+
+    pub fn ended(&self, ended: Ended) {
+        self.feed(Event::Ended(ended));
+    }
+
+    pub fn departed(&self, request: RequestId) {
+        self.feed(Event::Departed(request));
+    }
+
+    pub fn probed(&self, member: MemberId, outcome: Outcome, report: Note) {
+        self.feed(Event::Probed(member, outcome, report));
+    }
+
+    pub fn list_lost(&self) {
+        self.feed(Event::ListLost);
+    }
+
+    pub fn wake(&self) {
+        self.feed(Event::Wake);
+    }
+
+    /// No orders are wanted any more.
+    pub fn forget(&self, request: RequestId) {
+        self.with(|state| state.inboxes.remove(&request));
+    }
+
+    /// Takes in a list; one with an entry that makes no sense changes nothing.
+    pub fn listed(&self, kind: ListKind, listing: &Listing) -> Result<(), String> {
+        self.with(|state| {
+            let entries = state.entries(listing)?;
+            state.feed(self, Event::Listed(kind, entries.into()));
+            Ok(())
+        })
+    }
+}
+
+impl State {
+    fn entries(&mut self, listing: &Listing) -> Result<Vec<Entry>, String> {
+        let mut entries = Vec::with_capacity(listing.members.len());
+        let mut addresses = Vec::with_capacity(listing.members.len());
+        for item in &listing.members {
+            let entry = item.entry(MemberId(0), &self.zones).map_err(|f| format!("{}: {f}", item.store))?;
+            let address = match item.address.parse() {
+                Ok(address) => Some(address),
+                Err(_) if entry.state != EntryState::On => None,
+                Err(_) => return Err(format!("{}: bad address {:?}", item.store, item.address)),
+            };
+            entries.push(entry);
+            addresses.push(address);
+        }
+        for ((entry, item), address) in entries.iter_mut().zip(&listing.members).zip(addresses) {
+            let next = MemberId(self.places.len() as u32);
+            let member = *self.members.entry(item.store.clone()).or_insert(next);
+            if member == next {
+                self.places.push((item.store.clone(), None));
+            }
+            entry.member = member;
+            let place = &mut self.places[member.0 as usize].1;
+            *place = address.or(*place);
+        }
+        Ok(entries)
+    }
+
+    fn feed(&mut self, core: &Core, event: Event) {
+        let now = core.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(core, now, action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, core: &Core, now: Micros, action: Action) {
+        match action {
+            Action::Send(request, member, timeout) => {
+                let Some(address) = self.places.get(member.0 as usize).and_then(|place| place.1) else {
+                    return warn!("a send to a member without an address");
+                };
+                let Some((inbox, due)) = self.inboxes.get(&request) else { return };
+                let until = now.saturating_add(timeout).min(*due);
+                inbox.order(Order::Send { address, until });
+            }
+            Action::Cancel(request, attempt) => self.order(request, Order::Cancel(attempt)),
+            Action::Refuse(request, come_back) => self.order(request, Order::Refuse(come_back)),
+            Action::Fail(request) => self.order(request, Order::Fail),
+            Action::Probe(member) => {
+                if let Some(address) = self.places.get(member.0 as usize).and_then(|place| place.1) {
+                    let _ = self.probes.send((member, address));
+                }
+            }
+            Action::Watch => {
+                let _ = self.watches.send(());
+            }
+            Action::Remark(member, remark) => {
+                let name = self.places.get(member.0 as usize).map_or("?", |place| place.0.as_str());
+                info!(member = name, "{remark:?}");
+            }
+            Action::WakeAfter(after) => core.timer.wake_at(now.saturating_add(after)),
+        }
+    }
+
+    fn order(&self, request: RequestId, order: Order) {
+        if let Some((inbox, _)) = self.inboxes.get(&request) {
+            inbox.order(order);
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/asterreel/discovery.rs
@@ -0,0 +1,179 @@
+//! The watch on discovery's list of members.
+
+use crate::core::Core;
+use crate::net::Stream;
+use asterreel::config::Listing;
+use asterreel::interface::{ListKind, Micros};
+use may::sync::mpsc::Receiver;
+use std::net::SocketAddr;
+use tracing::{info, warn};
+
+/// How long a connection to discovery may take.
+const CONNECT: Micros = 1_000_000;
+/// How long a watch may be silent: two of its heartbeats.
+const SILENCE: Micros = 4_000_000;
+/// The longest head of an answer, and the longest line, that are taken in.
+const LONGEST_HEAD: usize = 16 * 1024;
+const LONGEST_LINE: usize = 1 << 20;
+
+/// Watches whenever the module asks for it; a watch that ends is reported as lost.
+pub fn run(core: &Core, address: SocketAddr, mut revision: u64, asked: &Receiver<()>) {
+    while asked.recv().is_ok() {
+        let fault = watch(core, address, &mut revision);
+        info!("watch lost: {fault}");
+        core.list_lost();
+    }
+}
+
+/// Keeps a watch until it ends, and says why it did.
+fn watch(core: &Core, address: SocketAddr, revision: &mut u64) -> String {
+    let mut stream = match Stream::connect(address, CONNECT, &core.timer) {
+        Ok(stream) => stream,
+        Err(error) => return format!("connect: {error}"),
+    };
+    let call = format!("GET /v1/servers?watch=1&after={revision} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+    let mut silent_at = core.clock.now() + SILENCE;
+    let mut alarm = core.timer.alarm(silent_at, stream.waker());
+    if let Err(error) = stream.write_all(call.as_bytes(), || core.clock.now() < silent_at) {
+        return format!("call: {error}");
+    }
+    let mut reader = Reader::default();
+    loop {
+        let used = match reader.take(stream.buffer.data()) {
+            Ok(used) => used,
+            Err(fault) => return fault,
+        };
+        stream.buffer.consume(used);
+        while let Some(line) = reader.line() {
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            // A list that makes no sense leaves the old one standing; the next watch starts from there.
+            if let Err(fault) = told(core, &line, revision) {
+                warn!("bad list: {fault}");
+                return fault;
+            }
+        }
+        match stream.read_now() {
+            Ok(Some(0)) => return "ended".into(),
+            Ok(Some(_)) => {
+                drop(alarm);
+                silent_at = core.clock.now() + SILENCE;
+                alarm = core.timer.alarm(silent_at, stream.waker());
+                continue;
+            }
+            Ok(None) => {}
+            Err(error) => return error.to_string(),
+        }
+        if core.clock.now() >= silent_at {
+            return "silent".into();
+        }
+        stream.wait();
+    }
+}
+
+fn told(core: &Core, line: &[u8], revision: &mut u64) -> Result<(), String> {
+    let listing: Listing = serde_json::from_slice(line).map_err(|fault| fault.to_string())?;
+    let kind = if listing.complete { ListKind::Full } else { ListKind::Changes };
+    core.listed(kind, &listing)?;
+    *revision = listing.revision;
+    Ok(())
+}
+
+/// Reads an HTTP answer as it comes and takes its body apart into lines. No input or output.
+#[derive(Default)]
+pub struct Reader {
+    body: Body,
+    lines: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Default)]
+enum Body {
+    #[default]
+    Head,
+    /// Sent as it is, until the connection ends.
+    Plain,
+    ChunkSize,
+    Chunk(usize),
+    /// The line end after a chunk.
+    ChunkEnd,
+    /// All has come.
+    Over,
+}
+
+impl Reader {
+    /// Takes in bytes and says how many were used; the rest is to be offered again with more.
+    pub fn take(&mut self, bytes: &[u8]) -> Result<usize, String> {
+        let mut used = 0;
+        loop {
+            let rest = &bytes[used..];
+            match self.body {
+                Body::Head => match head(rest)? {
+                    Some((length, body)) => (self.body, used) = (body, used + length),
+                    None => return Ok(used),
+                },
+                Body::Plain => {
+                    self.lines.extend_from_slice(rest);
+                    used = bytes.len();
+                }
+                Body::ChunkSize => match httparse::parse_chunk_size(rest) {
+                    Ok(httparse::Status::Complete((length, 0))) => {
+                        (self.body, used) = (Body::Over, used + length);
+                    }
+                    Ok(httparse::Status::Complete((length, size))) => {
+                        let size = usize::try_from(size).map_err(|_| "chunk too long")?;
+                        (self.body, used) = (Body::Chunk(size), used + length);
+                    }
+                    Ok(httparse::Status::Partial) if rest.len() < LONGEST_HEAD => return Ok(used),
+                    _ => return Err("bad chunk size".into()),
+                },
+                Body::Chunk(left) => {
+                    let count = left.min(rest.len());
+                    self.lines.extend_from_slice(&rest[..count]);
+                    used += count;
+                    self.body = if count == left { Body::ChunkEnd } else { Body::Chunk(left - count) };
+                }
+                Body::ChunkEnd => match rest {
+                    [b'\r', b'\n', ..] => (self.body, used) = (Body::ChunkSize, used + 2),
+                    [] | [b'\r'] => return Ok(used),
+                    _ => return Err("bad chunk end".into()),
+                },
+                Body::Over => return Ok(bytes.len()),
+            }
+            if self.lines.len() > LONGEST_LINE && !self.lines.contains(&b'\n') {
+                return Err("line too long".into());
+            }
+            if used == bytes.len() {
+                return Ok(used);
+            }
+        }
+    }
+
+    /// The next whole line, without its end.
+    pub fn line(&mut self) -> Option<Vec<u8>> {
+        let end = self.lines.iter().position(|byte| *byte == b'\n')?;
+        let rest = self.lines.split_off(end + 1);
+        let mut line = std::mem::replace(&mut self.lines, rest);
+        line.truncate(end);
+        Some(line)
+    }
+}
+
+/// The length of an answer's head and how its body comes, once the head is there as a whole.
+fn head(bytes: &[u8]) -> Result<Option<(usize, Body)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(bytes).map_err(|fault| fault.to_string())? {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial if bytes.len() < LONGEST_HEAD => return Ok(None),
+        httparse::Status::Partial => return Err("head too long".into()),
+    };
+    if response.code != Some(200) {
+        return Err(format!("status {}", response.code.unwrap_or(0)));
+    }
+    let chunked = response.headers.iter().any(|header| {
+        header.name.eq_ignore_ascii_case("transfer-encoding")
+            && header.value.to_ascii_lowercase().ends_with(b"chunked")
+    });
+    Ok(Some((length, if chunked { Body::ChunkSize } else { Body::Plain })))
+}
--- /dev/null
+++ b/src/bin/asterreel/main.rs
@@ -0,0 +1,113 @@
+//! The gateway: takes requests from clients on real sockets and sends them where the module decides.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod attempt;
+mod client;
+mod clock;
+mod core;
+mod discovery;
+mod net;
+mod pg;
+mod pool;
+mod probe;
+mod timer;
+
+use crate::client::Gateway;
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::pool::Pool;
+use crate::timer::Timer;
+use asterreel::config::Config;
+use asterreel::interface::ListKind;
+use may::net::TcpListener;
+use may::sync::mpsc;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use std::error::Error;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tracing::{info, level_filters::LevelFilter};
+
+/// How long after the signal connections are still kept as if nothing had happened.
+const KEEP_SERVING: Duration = Duration::from_millis(900);
+/// Descriptors for everything that is neither a client nor a database.
+const RESERVED: usize = 64;
+
+fn main() -> ExitCode {
+    let level = std::env::var("RELAY_LOG").ok().and_then(|level| level.parse().ok());
+    let level = level.unwrap_or(LevelFilter::INFO);
+    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("asterreel: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), Box<dyn Error>> {
+    let config = Config::from_env()?;
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
+    // One core, so one worker; pinned, all gateways of a machine would share the first core.
+    may::config()
+        .set_workers(1)
+        .set_stack_size(net::STACK_WORDS)
+        .set_pool_capacity(64)
+        .set_worker_pin(false);
+
+    let clock = Clock::start();
+    let timer = Timer::new(clock);
+    let (probes, probes_asked) = mpsc::channel();
+    let (watches, watches_asked) = mpsc::channel();
+    let core = Arc::new(Core::new(&config, clock, timer.clone(), probes, watches)?);
+    let allowed = &config.setup.allowed;
+    let to_share = config.sockets.saturating_sub(RESERVED);
+    let (clients, databases) = (to_share - to_share * 2 / 5, to_share * 2 / 5);
+    let pool = Pool::new(clock, timer.clone(), databases, allowed.conn_idle_us, allowed.connect_timeout_us);
+    let pool = Arc::new(pool);
+
+    let woken = core.clone();
+    std::thread::Builder::new().name("timer".into()).spawn(move || timer.run(|| woken.wake()))?;
+    let (asking, asked_pool) = (core.clone(), pool.clone());
+    net::spawn(move || {
+        while let Ok((member, address)) = probes_asked.recv() {
+            let (core, pool) = (asking.clone(), asked_pool.clone());
+            net::spawn(move || {
+                let (outcome, report) = probe::run(&pool, address);
+                core.probed(member, outcome, report);
+            });
+        }
+    });
+    core.listed(ListKind::WarmCopy, &config.known)
+        .map_err(|fault| format!("configuration: known: {fault}"))?;
+    let (watching, address, revision) = (core.clone(), config.discovery, config.known.revision);
+    net::spawn(move || discovery::run(&watching, address, revision, &watches_asked));
+
+    let gateway = Gateway::new(core, pool, &config.setup, &config.settings.needs, clients);
+    let gateway = Arc::new(gateway);
+    let listener =
+        TcpListener::bind(config.listen).map_err(|error| format!("listen: {}: {error}", config.listen))?;
+    let accepting = gateway.clone();
+    net::spawn(move || client::accept(&accepting, &listener));
+    info!(name = config.name, listen = %config.listen, "serving");
+
+    signals.forever().next();
+    drain(&config, &gateway);
+    Ok(())
+}
+
+/// Serves on while clients still come, then closes connections between requests, and returns when none is
+/// left or nothing can be owed any more.
+fn drain(config: &Config, gateway: &Gateway) {
+    info!("draining");
+    std::thread::sleep(KEEP_SERVING);
+    gateway.drain();
+    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let until = Instant::now() + Duration::from_micros(longest);
+    while gateway.open_sessions() > 0 && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    info!(left = gateway.open_sessions(), "stopped");
+}
--- /dev/null
+++ b/src/bin/asterreel/net.rs
@@ -0,0 +1,115 @@
+//! What every connection is made of: a socket, its one buffer, waits and coroutines.
+
+use crate::timer::Timer;
+use asterreel::interface::Micros;
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Stack of a coroutine in machine words (128 KiB). Only what is touched takes memory.
+pub const STACK_WORDS: usize = 0x4000;
+
+/// Starts a coroutine. `go!` hides an unsafe block: a coroutine that overflows its stack or leans on a
+/// thread-local across a yield is undefined. Nothing here keeps a thread-local or a tracing span across a
+/// wait, and the stack is many times what was measured.
+pub fn spawn(work: impl FnOnce() + Send + 'static) {
+    may::go!(work);
+}
+
+/// Bytes that came in and are not used up yet; grows as needed and is compacted in place.
+#[derive(Default)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    start: usize,
+}
+
+/// What is read at once, and what an empty buffer may keep.
+const CHUNK: usize = 8 * 1024;
+
+impl Buffer {
+    pub fn data(&self) -> &[u8] {
+        &self.bytes[self.start..]
+    }
+
+    pub fn consume(&mut self, count: usize) {
+        self.start = (self.start + count).min(self.bytes.len());
+        if self.start == self.bytes.len() {
+            self.bytes.clear();
+            self.start = 0;
+            // One large value must not hold its room for the life of an idle connection.
+            self.bytes.shrink_to(CHUNK);
+        }
+    }
+
+    pub fn read_from(&mut self, mut source: impl Read) -> io::Result<usize> {
+        if self.start > 0 {
+            self.bytes.copy_within(self.start.., 0);
+            self.bytes.truncate(self.bytes.len() - self.start);
+            self.start = 0;
+        }
+        let filled = self.bytes.len();
+        self.bytes.resize(filled + CHUNK, 0);
+        let read = source.read(&mut self.bytes[filled..]);
+        self.bytes.truncate(filled + *read.as_ref().unwrap_or(&0));
+        read
+    }
+}
+
+/// A connection and its buffer.
+pub struct Stream {
+    socket: TcpStream,
+    pub buffer: Buffer,
+    pub timer: Arc<Timer>,
+}
+
+impl Stream {
+    pub fn new(socket: TcpStream, timer: Arc<Timer>) -> Stream {
+        // Small messages that wait for an answer must not wait for each other.
+        let _ = socket.set_nodelay(true);
+        Stream { socket, buffer: Buffer::default(), timer }
+    }
+
+    pub fn connect(address: SocketAddr, within: Micros, timer: &Arc<Timer>) -> io::Result<Stream> {
+        let socket = TcpStream::connect_timeout(&address, Duration::from_micros(within.max(1)))?;
+        Ok(Stream::new(socket, timer.clone()))
+    }
+
+    pub fn waker(&self) -> WaitIoWaker {
+        self.socket.waker()
+    }
+
+    /// Reads what is there, without waiting; `None` when there is nothing, `Some(0)` at the end.
+    pub fn read_now(&mut self) -> io::Result<Option<usize>> {
+        loop {
+            match self.buffer.read_from(self.socket.inner()) {
+                Ok(count) => return Ok(Some(count)),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(None),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Waits until the socket is ready for something, or somebody wakes this coroutine.
+    pub fn wait(&self) {
+        self.socket.wait_io();
+    }
+
+    /// Writes everything, or fails; `go_on` is asked at every wait whether to keep at it.
+    pub fn write_all(&mut self, mut bytes: &[u8], go_on: impl Fn() -> bool) -> io::Result<()> {
+        while !bytes.is_empty() {
+            match self.socket.inner().write(bytes) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => bytes = &bytes[count..],
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock && go_on() => self.wait(),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Err(ErrorKind::TimedOut.into()),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/bin/asterreel/pg.rs
@@ -0,0 +1,349 @@
+//! PostgreSQL's wire protocol, version 3, as far as it is spoken here, and the comment in a statement.
+//!
+//! No input or output: bytes in, meaning out.
+
+use asterreel::interface::{Micros, Note, Role};
+use std::ops::Range;
+
+/// The longest message that is taken in: a value of 64 KiB in hex, and room.
+pub const LONGEST: usize = 1 << 20;
+
+/// Bytes that are no message of this protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// A message: its tag, and its body within the bytes it was found in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    pub tag: u8,
+    pub body: Range<usize>,
+}
+
+/// The first message of the bytes, once it is there as a whole.
+pub fn message(bytes: &[u8]) -> Result<Option<Message>, Malformed> {
+    let Some((&tag, rest)) = bytes.split_first() else { return Ok(None) };
+    let Some(length) = length(rest)? else { return Ok(None) };
+    Ok((rest.len() >= length).then_some(Message { tag, body: 5..1 + length }))
+}
+
+fn length(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    let Some(length) = bytes.first_chunk::<4>() else { return Ok(None) };
+    match u32::from_be_bytes(*length) as usize {
+        length @ 4..=LONGEST => Ok(Some(length)),
+        _ => Err(Malformed("message length out of bounds")),
+    }
+}
+
+/// What a client opens its connection with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    Start,
+    /// Asks for encryption, which is answered with one byte.
+    Encrypt,
+    /// Asks to cancel something; gets no answer.
+    Cancel,
+}
+
+/// The opening message and its length, once it is there as a whole.
+pub fn opening(bytes: &[u8]) -> Result<Option<(Opening, usize)>, Malformed> {
+    let Some(length) = length(bytes)? else { return Ok(None) };
+    if length < 8 {
+        return Err(Malformed("startup message too short"));
+    }
+    let Some(message) = bytes.get(..length) else { return Ok(None) };
+    let code = message[4..].first_chunk::<4>().map_or(0, |code| u32::from_be_bytes(*code));
+    match (code, code >> 16) {
+        (80_877_103 | 80_877_104, _) => Ok(Some((Opening::Encrypt, length))),
+        (80_877_102, _) => Ok(Some((Opening::Cancel, length))),
+        (_, 3) => Ok(Some((Opening::Start, length))),
+        _ => Err(Malformed("unsupported protocol version")),
+    }
+}
+
+/// A text up to its closing zero byte, and what follows.
+fn text(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let end = bytes.iter().position(|byte| *byte == 0)?;
+    Some((&bytes[..end], &bytes[end + 1..]))
+}
+
+/// The statement of a query message.
+pub fn query(body: &[u8]) -> Result<&[u8], Malformed> {
+    match text(body) {
+        Some((statement, [])) => Ok(statement),
+        _ => Err(Malformed("query is not one text")),
+    }
+}
+
+/// A client's statement, with what its comment says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Statement {
+    bytes: Vec<u8>,
+    wait: Range<usize>,
+    /// The class, by name.
+    pub class: String,
+    /// How long the client will wait, in milliseconds.
+    pub wait_ms: u64,
+    /// The group.
+    pub cluster: u64,
+    /// The position that the read must see, in Unix milliseconds.
+    pub after: Option<u64>,
+    /// The first quoted text, which may name a session.
+    pub key: Vec<u8>,
+}
+
+impl Statement {
+    pub fn parse(bytes: &[u8]) -> Result<Statement, Malformed> {
+        let find = |what: &[u8]| bytes.windows(2).rposition(|pair| pair == what);
+        let (Some(open), Some(close)) = (find(b"/*"), find(b"*/")) else {
+            return Err(Malformed("statement without a comment"));
+        };
+        if close < open + 2 || !bytes[close + 2..].iter().all(|b| b.is_ascii_whitespace() || *b == b';') {
+            return Err(Malformed("statement does not end with its comment"));
+        }
+        let (mut id, mut class, mut wait, mut cluster, mut after) = (None, None, None, None, None);
+        let mut at = open + 2;
+        for pair in bytes[at..close].split(|byte| *byte == b',') {
+            let start = at;
+            at += pair.len() + 1;
+            let Some(equals) = pair.iter().position(|byte| *byte == b'=') else { continue };
+            let raw = &pair[equals + 1..];
+            let value = raw.trim_ascii();
+            let value_at = start + equals + 1 + (raw.len() - raw.trim_ascii_start().len());
+            match pair[..equals].trim_ascii() {
+                b"id" => id = Some(value),
+                b"c" => class = Some(value),
+                b"d" => wait = Some((number(value)?, value_at..value_at + value.len())),
+                b"cluster" => cluster = Some(number(value)?),
+                b"after" => after = Some(number(value)?),
+                _ => {}
+            }
+        }
+        let quoted = bytes[..open].split(|byte| *byte == b'\'').nth(1);
+        let class = class.and_then(|class| std::str::from_utf8(class).ok());
+        let (Some(class), Some((wait_ms, wait)), Some(_)) = (class, wait, id) else {
+            return Err(Malformed("comment lacks id, c or d"));
+        };
+        Ok(Statement {
+            wait,
+            class: class.to_owned(),
+            wait_ms,
+            cluster: cluster.unwrap_or(0),
+            after,
+            key: quoted.unwrap_or_default().to_vec(),
+            bytes: bytes.to_vec(),
+        })
+    }
+
+    /// The query message that passes the statement on; only `d` is changed, to how long will be waited.
+    pub fn forward(&self, wait_ms: u64) -> Vec<u8> {
+        let wait = wait_ms.to_string();
+        let mut out = Vec::with_capacity(self.bytes.len() + wait.len() + 6);
+        put(&mut out, b'Q', |out| {
+            out.extend_from_slice(&self.bytes[..self.wait.start]);
+            out.extend_from_slice(wait.as_bytes());
+            out.extend_from_slice(&self.bytes[self.wait.end..]);
+            out.push(0);
+        });
+        out
+    }
+}
+
+fn number(value: &[u8]) -> Result<u64, Malformed> {
+    let text = std::str::from_utf8(value).ok();
+    text.and_then(|text| text.parse().ok()).ok_or(Malformed("comment holds a bad number"))
+}
+
+/// Appends a message whose body is written by `body`.
+fn put(out: &mut Vec<u8>, tag: u8, body: impl FnOnce(&mut Vec<u8>)) {
+    out.push(tag);
+    let start = out.len();
+    out.extend_from_slice(&[0; 4]);
+    body(out);
+    let length = (out.len() - start) as u32;
+    out[start..start + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+fn put_text(out: &mut Vec<u8>, text: &str) {
+    out.extend_from_slice(text.as_bytes());
+    out.push(0);
+}
+
+/// What a gateway opens its connection to a database with.
+pub fn startup() -> Vec<u8> {
+    let mut out = vec![0, 0, 0, 0, 0, 3, 0, 0];
+    for word in ["user", "web", "database", "orders", ""] {
+        put_text(&mut out, word);
+    }
+    let length = out.len() as u32;
+    out[..4].copy_from_slice(&length.to_be_bytes());
+    out
+}
+
+/// A query message of a plain statement.
+pub fn simple_query(statement: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    put(&mut out, b'Q', |out| put_text(out, statement));
+    out
+}
+
+/// The answer to a client's startup message.
+pub fn welcome(out: &mut Vec<u8>) {
+    put(out, b'R', |out| out.extend_from_slice(&[0; 4]));
+    for (name, value) in [("server_version", "15.0"), ("client_encoding", "UTF8")] {
+        put(out, b'S', |out| {
+            put_text(out, name);
+            put_text(out, value);
+        });
+    }
+    put(out, b'K', |out| out.extend_from_slice(&[0; 8]));
+    ready(out);
+}
+
+pub fn ready(out: &mut Vec<u8>) {
+    put(out, b'Z', |out| out.push(b'I'));
+}
+
+pub fn empty_query_response(out: &mut Vec<u8>) {
+    put(out, b'I', |_| {});
+}
+
+pub fn command_complete(out: &mut Vec<u8>, tag: &str) {
+    put(out, b'C', |out| put_text(out, tag));
+}
+
+/// How serious an error is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    Error,
+    /// The connection ends with it.
+    Fatal,
+}
+
+pub fn error(out: &mut Vec<u8>, severity: Severity, code: &str, message: &str, detail: Option<u64>) {
+    let severity = if severity == Severity::Fatal { "FATAL" } else { "ERROR" };
+    let detail = detail.map(|number| number.to_string());
+    put(out, b'E', |out| {
+        for (field, value) in [(b'S', severity), (b'V', severity), (b'C', code), (b'M', message)] {
+            out.push(field);
+            put_text(out, value);
+        }
+        if let Some(detail) = &detail {
+            out.push(b'D');
+            put_text(out, detail);
+        }
+        out.push(0);
+    });
+}
+
+/// The code of an error message.
+fn error_code(mut body: &[u8]) -> Option<&[u8]> {
+    while let Some((&field, rest)) = body.split_first().filter(|(field, _)| **field != 0) {
+        let (value, after) = text(rest)?;
+        if field == b'C' {
+            return Some(value);
+        }
+        body = after;
+    }
+    None
+}
+
+/// How a database answered a query.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// A row of one column and the end of the command.
+    Row,
+    /// An error with this code.
+    Error([u8; 5]),
+}
+
+/// What has come of a database's answer to one query, or to the startup message.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// RowDescription, DataRow and CommandComplete, byte for byte.
+    pub rows: Vec<u8>,
+    pub note: Note,
+    pub verdict: Option<Verdict>,
+    /// ReadyForQuery has come.
+    pub ready: bool,
+    stage: u8,
+}
+
+impl Answer {
+    /// Takes in one message, `whole` being all its bytes.
+    pub fn take(&mut self, tag: u8, whole: &[u8], body: &[u8]) -> Result<(), Malformed> {
+        if self.ready {
+            return Err(Malformed("a message after the end of the answer"));
+        }
+        match (tag, self.stage) {
+            (b'N' | b'K' | b'R', _) => {}
+            (b'S', _) => self.status(body)?,
+            (b'T', 0) | (b'D', 1) | (b'C', 2) if self.verdict.is_none() => {
+                if tag != b'C' && body.first_chunk::<2>() != Some(&[0, 1]) {
+                    return Err(Malformed("not a row of one column"));
+                }
+                self.rows.extend_from_slice(whole);
+                self.stage += 1;
+                if tag == b'C' {
+                    self.verdict = Some(Verdict::Row);
+                }
+            }
+            (b'E', _) if self.verdict.is_none() => {
+                let code = error_code(body).and_then(|code| code.try_into().ok());
+                self.verdict = Some(Verdict::Error(code.ok_or(Malformed("an error without a code"))?));
+            }
+            (b'Z', _) => self.ready = true,
+            _ => return Err(Malformed("a message out of turn")),
+        }
+        Ok(())
+    }
+
+    fn status(&mut self, body: &[u8]) -> Result<(), Malformed> {
+        let pair = text(body).and_then(|(name, rest)| Some((name, text(rest)?.0)));
+        match pair.ok_or(Malformed("a status without a value"))? {
+            (b"server_role", b"writer") => self.note.role = Some(Role::Primary),
+            (b"server_role", b"reader") => self.note.role = Some(Role::Replica),
+            (b"commit_clock", value) => self.note.position = decimal(value, 3),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// The value of the row, if one came.
+    pub fn value(&self) -> Option<&[u8]> {
+        let description = message(&self.rows).ok()??;
+        let rest = &self.rows[description.body.end..];
+        let row = &rest[message(rest).ok()??.body];
+        let length = u32::from_be_bytes(*row.get(2..)?.first_chunk::<4>()?) as usize;
+        row.get(6..)?.get(..length)
+    }
+}
+
+/// A decimal number times ten to a power, rounded down; exact where a float would not be.
+fn decimal(text: &[u8], power: usize) -> Option<u64> {
+    let text = std::str::from_utf8(text).ok()?.trim();
+    let (whole, part) = text.split_once('.').unwrap_or((text, ""));
+    let mut value: u64 = whole.parse().ok()?;
+    let digits = part.bytes().chain(std::iter::repeat(b'0'));
+    for digit in digits.take(power) {
+        let digit = char::from(digit).to_digit(10)?;
+        value = value.checked_mul(10)?.checked_add(u64::from(digit))?;
+    }
+    Some(value)
+}
+
+/// What a load report tells: `x0` is the position in Unix seconds, `x1` whether it is the primary.
+pub fn report(value: &[u8]) -> Note {
+    let mut note = Note::default();
+    for pair in value.split(|byte| *byte == b',') {
+        let Some(equals) = pair.iter().position(|byte| *byte == b'=') else { continue };
+        let (name, value) = (pair[..equals].trim_ascii(), &pair[equals + 1..]);
+        match (name, decimal(value, 6)) {
+            (b"x0", position) => note.position = position.map(|at: Micros| at),
+            (b"x1", Some(one)) => {
+                note.role = Some(if one >= 500_000 { Role::Primary } else { Role::Replica });
+            }
+            _ => {}
+        }
+    }
+    note
+}
--- /dev/null
+++ b/src/bin/asterreel/pool.rs
@@ -0,0 +1,135 @@
+//! Connections to databases: opened, kept while idle, and never more than the descriptors allow.
+
+use crate::attempt::{exchange, Stop};
+use crate::clock::Clock;
+use crate::net::Stream;
+use crate::pg::{self, Answer, Verdict};
+use crate::timer::Timer;
+use asterreel::interface::Micros;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+pub struct Pool {
+    pub clock: Clock,
+    pub timer: Arc<Timer>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    open: Arc<AtomicUsize>,
+    most: usize,
+    idle_for: Micros,
+    pub connect_timeout: Micros,
+}
+
+/// A connection to a database that is ready for a query.
+pub struct Connection {
+    pub stream: Stream,
+    _place: Place,
+}
+
+/// One of the descriptors set aside for databases.
+struct Place(Arc<AtomicUsize>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    since: Micros,
+}
+
+/// Why there is no connection. In every case nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoConnection {
+    /// All descriptors set aside for databases are in use.
+    NoRoom,
+    /// The database holds too many.
+    TurnedAway,
+    /// Refused, not up in time, or broken.
+    Failed,
+}
+
+impl Pool {
+    pub fn new(clock: Clock, timer: Arc<Timer>, most: usize, closes: Micros, connect: Micros) -> Pool {
+        Pool {
+            clock,
+            timer,
+            idle: Mutex::default(),
+            open: Arc::default(),
+            most,
+            // The database closes an idle connection at the latest after `closes`, and what is written to a
+            // dying one may have run: retire it well before.
+            idle_for: closes * 2 / 3,
+            connect_timeout: connect,
+        }
+    }
+
+    fn idle<T>(&self, work: impl FnOnce(&mut HashMap<SocketAddr, Vec<Idle>>) -> T) -> T {
+        work(&mut self.idle.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// An idle connection that has not been closed from the other side.
+    pub fn take(&self, address: SocketAddr) -> Option<Connection> {
+        self.retire();
+        loop {
+            let idle = self.idle(|idle| idle.get_mut(&address).and_then(Vec::pop))?;
+            let mut connection = idle.connection;
+            // An end, an error or bytes nobody asked for: a write into it would be a reset that may have run.
+            if matches!(connection.stream.read_now(), Ok(None)) && connection.stream.buffer.data().is_empty()
+            {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Keeps a connection for the next query.
+    pub fn keep(&self, address: SocketAddr, connection: Connection) {
+        let since = self.clock.now();
+        self.idle(|idle| idle.entry(address).or_default().push(Idle { connection, since }));
+        self.retire();
+    }
+
+    /// Closes what has been idle for too long.
+    pub fn retire(&self) {
+        let now = self.clock.now();
+        let old = |idle: &mut Idle| now.saturating_sub(idle.since) >= self.idle_for;
+        self.idle(|idle| {
+            idle.values_mut().for_each(|kept| kept.retain_mut(|one| !old(one)));
+            idle.retain(|_, kept| !kept.is_empty());
+        });
+    }
+
+    fn place(&self) -> Option<Place> {
+        if self.open.load(Ordering::Acquire) >= self.most {
+            // Room for a connection that is wanted now is made by one that nobody uses.
+            self.idle(|idle| {
+                let longest = idle.values_mut().filter(|kept| !kept.is_empty());
+                longest.min_by_key(|kept| kept[0].since).map(|kept| kept.remove(0))
+            });
+        }
+        let taken = self.open.fetch_add(1, Ordering::AcqRel);
+        let place = Place(self.open.clone());
+        (taken < self.most).then_some(place)
+    }
+
+    /// Opens a connection; it must be ready by the connect timeout, and by `until`.
+    pub fn open(&self, address: SocketAddr, until: Micros) -> Result<Connection, NoConnection> {
+        let place = self.place().ok_or(NoConnection::NoRoom)?;
+        let now = self.clock.now();
+        let until = until.min(now + self.connect_timeout);
+        let within = until.saturating_sub(now);
+        let stream = Stream::connect(address, within, &self.timer).map_err(|_| NoConnection::Failed)?;
+        let mut connection = Connection { stream, _place: place };
+        let mut answer = Answer::default();
+        let stop = Stop::at(until);
+        let end = exchange(&mut connection.stream, &pg::startup(), &mut answer, &stop, self.clock);
+        match (end, answer.verdict) {
+            (Ok(()), None) => Ok(connection),
+            (_, Some(Verdict::Error(code))) if &code == b"53300" => Err(NoConnection::TurnedAway),
+            _ => Err(NoConnection::Failed),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/asterreel/probe.rs
@@ -0,0 +1,33 @@
+//! Probes: a question for a database's load report.
+
+use crate::attempt::{exchange, finish, unconnected, Broken, Stop};
+use crate::pg::{self, Answer, Verdict};
+use crate::pool::Pool;
+use asterreel::interface::{Note, Outcome};
+use std::net::SocketAddr;
+
+/// Asks a database for its report. A probe that takes longer than a connection may has failed.
+pub fn run(pool: &Pool, address: SocketAddr) -> (Outcome, Note) {
+    let stop = Stop::at(pool.clock.now() + pool.connect_timeout);
+    let mut connection = match pool.take(address).map_or_else(|| pool.open(address, stop.at), Ok) {
+        Ok(connection) => connection,
+        // Too few descriptors here tell nothing of the database.
+        Err(fault) => match unconnected(fault, false) {
+            Outcome::Moot => return (Outcome::Full, Note::default()),
+            outcome => return (outcome, Note::default()),
+        },
+    };
+    let mut answer = Answer::default();
+    let query = pg::simple_query("SHOW usage");
+    let end = exchange(&mut connection.stream, &query, &mut answer, &stop, pool.clock);
+    finish(pool, address, connection, end, &answer);
+    match (&answer.verdict, end) {
+        (Some(Verdict::Row), _) => (Outcome::Served, answer.value().map(pg::report).unwrap_or_default()),
+        (Some(Verdict::Error(code)), _) if code == b"53300" || code == b"57P03" => {
+            (Outcome::Full, Note::default())
+        }
+        (_, Err(Broken::Stopped { .. })) => (Outcome::TimedOut, Note::default()),
+        (_, Err(Broken::Connection { .. })) => (Outcome::Reset, Note::default()),
+        _ => (Outcome::Error, Note::default()),
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,144 @@
+//! The one place where a gateway's configuration is read, checked and given defaults.
+//!
+//! `RELAY_CONFIG` names a JSON file; `RELAY_NAME`, `RELAY_LISTEN` and `RELAY_DISCOVERY` override its keys
+//! `name`, `listen` and `discovery`. Every error names the key at fault.
+
+use crate::interface::Settings;
+use crate::settings::{Item, Setup};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// All that a gateway is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// The gateway's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of members as last had; may be old.
+    pub known: Listing,
+    /// The settings as they were told.
+    pub setup: Setup,
+    /// The settings in the module's words.
+    pub settings: Settings,
+}
+
+/// A list of members, or the changes to it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Listing {
+    /// The version of the list.
+    pub revision: u64,
+    /// All members, not only those that changed.
+    #[serde(default)]
+    pub complete: bool,
+    /// The entries.
+    #[serde(default)]
+    pub members: Vec<Item>,
+}
+
+/// What is wrong with the configuration, and where.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadConfig {
+    /// The key at fault.
+    pub key: String,
+    /// What is wrong with it.
+    pub fault: String,
+}
+
+impl std::fmt::Display for BadConfig {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "configuration: {}: {}", self.key, self.fault)
+    }
+}
+
+impl std::error::Error for BadConfig {}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: Listing,
+    settings: Setup,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { sockets: 1024 }
+    }
+}
+
+/// The fewest descriptors that a gateway can work with.
+const LEAST_SOCKETS: usize = 64;
+
+impl Config {
+    /// Reads the configuration that the environment names.
+    pub fn from_env() -> Result<Config, BadConfig> {
+        let variable = |name: &str| std::env::var(name).ok();
+        let path = variable("RELAY_CONFIG").ok_or_else(|| bad("RELAY_CONFIG", "is not set"))?;
+        let text = std::fs::read(&path)
+            .map_err(|error| bad("RELAY_CONFIG", &format!("cannot read {path}: {error}")))?;
+        Config::parse(&text, variable)
+    }
+
+    /// Checks the text of a configuration; `variable` looks up the environment.
+    pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, BadConfig> {
+        let mut json = serde_json::Deserializer::from_slice(text);
+        let file: File = serde_path_to_error::deserialize(&mut json)
+            .map_err(|error| bad(&error.path().to_string(), &error.inner().to_string()))?;
+        let address = |name: &str, key: &str, told: Option<String>| {
+            let (from, text) = match variable(name) {
+                Some(text) => (name, text),
+                None => (key, told.ok_or_else(|| bad(key, "is missing"))?),
+            };
+            text.parse().map_err(|_| bad(from, &format!("{text:?} is not an address and port")))
+        };
+        let listen = address("RELAY_LISTEN", "listen", file.listen)?;
+        let discovery = address("RELAY_DISCOVERY", "discovery", file.discovery)?;
+        let seed = match &file.seed {
+            Some(seed) => u64::from_str_radix(seed, 16)
+                .map_err(|_| bad("seed", &format!("{seed:?} is not a number of 64 bits in hex")))?,
+            None => 0,
+        };
+        if file.limits.sockets < LEAST_SOCKETS {
+            return Err(bad("limits.sockets", &format!("must be at least {LEAST_SOCKETS}")));
+        }
+        let settings = file.settings.settings().map_err(|fault| bad("settings", &fault))?;
+        if let Some(nameless) = file.settings.profiles.iter().position(|class| class.name.is_empty()) {
+            return Err(bad(&format!("settings.Profiles[{nameless}].Name"), "is missing"));
+        }
+        if file.settings.allowed.connect_timeout_us == 0 {
+            return Err(bad("settings.Allowed.ConnectTimeoutUs", "must not be 0"));
+        }
+        Ok(Config {
+            name: variable("RELAY_NAME").or(file.name).unwrap_or_else(|| "asterreel".into()),
+            listen,
+            discovery,
+            seed,
+            sockets: file.limits.sockets,
+            known: file.known,
+            setup: file.settings,
+            settings,
+        })
+    }
+}
+
+fn bad(key: &str, fault: &str) -> BadConfig {
+    BadConfig { key: key.into(), fault: fault.into() }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
 pub mod interface;
 pub mod policy;
+pub mod settings;
 mod state;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,7 +1,7 @@
 //! One small test per failure found, named for its symptom.
 mod common;
-use common::*;
 use asterreel::interface::*;
+use common::*;
 
 /// Incidents ide00d3 and i9ab903: time-outs under load failed members that went on answering others.
 #[test]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,7 +1,7 @@
 //! Each part of the mechanism on the ordinary path.
 mod common;
-use common::*;
 use asterreel::interface::*;
+use common::*;
 
 #[test]
 fn members_are_probed_before_the_first_send_and_about_every_second() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules, one by one and over arbitrary legal event sequences.
 mod common;
-use common::*;
 use asterreel::interface::*;
+use common::*;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
