Check a bound on age and a drain again at the moment an attempt is written

A bound counts from a send's last byte, but the module decides before a connection is opened, which may take up to ConnectTimeoutUs. Router::may_write asks again right before the write; an attempt that may not is Moot: nothing was sent, so nothing is charged.

--- a/src/bin/asterreel/attempt.rs
+++ b/src/bin/asterreel/attempt.rs
@@ -117,11 +117,22 @@
 }
 
 /// Makes one attempt; nothing is ever sent twice in here.
-pub fn run(pool: &Pool, address: SocketAddr, statement: &Statement, stop: &Stop) -> End {
+pub fn run(
+    pool: &Pool,
+    address: SocketAddr,
+    statement: &Statement,
+    stop: &Stop,
+    may_write: impl Fn() -> bool,
+) -> End {
     let mut connection = match pool.take(address).map_or_else(|| pool.open(address, stop.at), Ok) {
         Ok(connection) => connection,
         Err(fault) => return End::without_note(unconnected(fault, pool.clock.now() >= stop.at)),
     };
+    // The connection may have taken long: a bound on age or a drain can have run out since the decision.
+    if !may_write() {
+        pool.keep(address, connection);
+        return End::without_note(Outcome::Moot);
+    }
     let left = stop.at.saturating_sub(pool.clock.now());
     let query = statement.forward((left / 1000).max(1));
     let mut answer = Answer::default();
--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -11,6 +11,7 @@
 use may::net::TcpListener;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tracing::{debug, warn};
@@ -301,12 +302,12 @@
         let (mut out_now, mut owed) = (0u32, true);
         while owed || out_now > 0 {
             match self.next(owed.then_some(overdue)) {
-                Notice::Order(Order::Send { address, until }) => {
+                Notice::Order(Order::Send { member, address, until }) => {
                     let stop = Arc::new(Stop::at(until));
                     let number = AttemptNo(attempts.len() as u32);
                     attempts.push((core.clock.now(), stop.clone()));
                     out_now += 1;
-                    self.attempt(number, address, statement.clone(), stop);
+                    self.attempt((id, number), (member, address), statement.clone(), stop);
                 }
                 Notice::Order(Order::Cancel(number)) => {
                     if let Some((_, stop)) = attempts.get(number.0 as usize) {
@@ -385,14 +386,15 @@
 
     fn attempt(
         &self,
-        number: AttemptNo,
-        address: std::net::SocketAddr,
+        (request, number): (RequestId, AttemptNo),
+        (member, address): (MemberId, SocketAddr),
         statement: Arc<Statement>,
         stop: Arc<Stop>,
     ) {
-        let (pool, mailbox) = (self.gateway.pool.clone(), self.mailbox.clone());
+        let (gateway, mailbox) = (self.gateway.clone(), self.mailbox.clone());
         spawn(move || {
-            let end = attempt::run(&pool, address, &statement, &stop);
+            let may_write = || gateway.core.may_write(request, member);
+            let end = attempt::run(&gateway.pool, address, &statement, &stop, may_write);
             mailbox.post(Notice::Ended(number, end));
         });
     }
--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -17,7 +17,11 @@
 #[derive(Debug)]
 pub enum Order {
     /// Send an attempt, to be waited for until this time.
-    Send { address: SocketAddr, until: Micros },
+    Send {
+        member: MemberId,
+        address: SocketAddr,
+        until: Micros,
+    },
     /// Call an attempt off.
     Cancel(AttemptNo),
     /// Final answer: refused.
@@ -96,6 +100,11 @@
         self.feed(Event::Ended(ended));
     }
 
+    /// Whether an attempt that was ordered earlier may be written now.
+    pub fn may_write(&self, request: RequestId, member: MemberId) -> bool {
+        self.with(|state| state.router.may_write(self.clock.now(), request, member))
+    }
+
     pub fn departed(&self, request: RequestId) {
         self.feed(Event::Departed(request));
     }
@@ -172,7 +181,7 @@
                 };
                 let Some((inbox, due)) = self.inboxes.get(&request) else { return };
                 let until = now.saturating_add(timeout).min(*due);
-                inbox.order(Order::Send { address, until });
+                inbox.order(Order::Send { member, address, until });
             }
             Action::Cancel(request, attempt) => self.order(request, Order::Cancel(attempt)),
             Action::Refuse(request, come_back) => self.order(request, Order::Refuse(come_back)),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,6 +61,8 @@
 const LOADED: f64 = 0.35;
 /// Late worth below which a read is not worth room once its wanted time can't be met. Ours.
 const WORTH_LATE: f64 = 0.5;
+/// Time that a write into a socket may take, microseconds: a bound counts from a send's last byte. Ours.
+const WRITE_TAKES: Micros = 2_000;
 /// Share of the active member's limit open to reads spilled on it. Ours.
 const SPILL_SHARE: f64 = 0.5;
 /// While requests are open a timer comes at least this often; one later by the second was held up here. Ours.
@@ -736,6 +738,24 @@
         !stalled && (!holds || member.position.saturating_add(age) >= needed)
     }
 
+    /// Whether a send decided on earlier may be written now. Opening a connection takes time in which data
+    /// ages and drains are told; a front that sends at once need not ask.
+    pub fn may_write(&self, now: Micros, id: RequestId, to: MemberId) -> bool {
+        let Some((request, member)) = self.requests.get(&id).zip(self.members.get(&to)) else {
+            return false;
+        };
+        let bound = self.settings.bounds[request.class()].saturating_sub(WRITE_TAKES);
+        let recent = match request.need {
+            Need::Bounded if self.settings.checks == Checks::None => {
+                let group = self.groups.get(&member.group);
+                let active = group.is_some_and(|group| group.active == Some(to));
+                active || member.position >= now.saturating_sub(bound)
+            }
+            _ => true,
+        };
+        recent && !request.answered && !member.drain_binds(&self.settings)
+    }
+
     /// Whether a member has room for a request of this share of its limit.
     fn admits(&self, member: &Member, share: f64) -> bool {
         let warmth = member.warmth(&self.settings, self.now);
