--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -303,6 +303,7 @@
         while owed || out_now > 0 {
             match self.next(owed.then_some(overdue)) {
                 Notice::Order(Order::Send { member, address, until }) => {
+                    debug!(request = id.0, class, member = member.0, due, "send");
                     let stop = Arc::new(Stop::at(until));
                     let number = AttemptNo(attempts.len() as u32);
                     attempts.push((core.clock.now(), stop.clone()));
@@ -333,11 +334,13 @@
                         owed = false;
                         out.extend_from_slice(&end.rows);
                     }
+                    let latency = core.clock.now().saturating_sub(sent);
+                    debug!(request = id.0, attempt = attempt.0, outcome = ?end.outcome, latency);
                     core.ended(Ended {
                         request: id,
                         attempt,
                         outcome: end.outcome,
-                        latency: core.clock.now().saturating_sub(sent),
+                        latency,
                         note: end.note,
                         report: Note::default(),
                         standing: if finished { Standing::Finished } else { Standing::Owed },
@@ -354,6 +357,8 @@
             }
         }
         core.forget(id);
+        let took = core.clock.now().saturating_sub(received);
+        debug!(request = id.0, class, group = statement.cluster, took, wait = statement.wait_ms, "done");
         if self.left {
             return Err(Ending::Left);
         }
