--- a/src/policy.rs
+++ b/src/policy.rs
@@ -657,6 +657,11 @@
         self.settings.classes[class].worth / self.paces[class].mean.max(1.0)
     }
 
+    /// The latency of the class that is answered soonest.
+    fn lightest(&self) -> f64 {
+        self.paces.iter().map(|pace| pace.mean).fold(f64::INFINITY, f64::min).max(1.0)
+    }
+
     /// With no usable active member one waiting request at a time looks for the primary, since a miss proves
     /// that nothing ran; the member listed as primary first, then the one heard or asked longest ago.
     fn search(&mut self, id: GroupId) {
@@ -813,6 +818,10 @@
         let proven = in_sync.iter().any(|member| member.verified);
         in_sync.retain(|m| m.verified == proven && self.admits(m, 1.0));
         let gather = self.furthest_behind(&in_sync).filter(|_| request.need == Need::Any);
+        let pressed = |id: &MemberId| self.members.get(id).is_some_and(|m| m.pressure > PRESSED);
+        if gather.as_ref().is_some_and(pressed) {
+            return None;
+        }
         gather.or_else(|| self.less_busy_of_two(&in_sync))
     }
 
@@ -861,13 +870,15 @@
         let timeout = self.worth_end(request).saturating_sub(now).max(1);
         let trial_at = now.saturating_add(self.pace_at(PROBE_EVERY));
         let credit = self.members.get(&to).map_or(0.0, |m| self.cold_credit(m));
+        // What a warm member was seen to carry is mostly of the lightest class: long work counts for more.
+        let cost = (self.paces[request.class()].mean / self.lightest()).max(1.0);
         if let Some(member) = self.members.get_mut(&to) {
             member.trial_at = trial_at;
             if member.in_flight == 0 && !member.mute {
                 member.quiet_since = now;
             }
             member.in_flight += 1;
-            (member.cold_credit, member.cold_at) = (credit - 1.0, now);
+            (member.cold_credit, member.cold_at) = (credit - cost, now);
             let group = self.groups.entry(member.group);
             group.and_modify(|group| group.in_flight += 1);
         }
