--- a/src/policy.rs
+++ b/src/policy.rs
@@ -506,9 +506,13 @@
         let late = self.settings.classes[request.class()].late_worth;
         let lasting = request.need == Need::Write || late >= WORTH_LATE;
         let (worth, aim) = (self.worth_end(request), self.aim_end(request));
+        let usual = (self.paces[request.class()].mean / 2.0) as Micros;
+        let usual = usual.max(2 * self.settings.period);
         let end = if lasting { worth } else { aim };
-        let usual = self.paces[request.class()].mean / 2.0;
-        end.saturating_sub((usual as Micros).max(2 * self.settings.period))
+        // A read that was never tried and is refused in its second half has cost its client that time.
+        let half = request.received.saturating_add(request.arrival.due.saturating_sub(request.received) / 2);
+        let end = if !lasting && request.attempts.is_empty() { end.min(half + usual) } else { end };
+        end.saturating_sub(usual)
     }
 
     /// The final answer of a request not served: a refusal where nothing forbids a retry.
