--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -23,7 +23,7 @@
         ("127.0.0.1:5502", Role::Replica),
     ] {
         let listener = TcpListener::bind(address)?;
-        thread::spawn(move || database(&listener, role, None));
+        thread::spawn(move || database(&listener, role, None, |_| None));
     }
     println!("databases on 127.0.0.1:5501 and :5502, discovery on 127.0.0.1:8500");
     discovery(&TcpListener::bind("127.0.0.1:8500")?, &list);
@@ -39,16 +39,24 @@
     Replica,
 }
 
+/// What to say instead of an answer to a statement, but for reports, before the connection is closed.
+pub type Spoil = fn(&[u8]) -> Option<Vec<u8>>;
+
 /// Serves as a database; each statement it gets, but for reports, is passed on to `seen` before its answer.
-pub fn database(listener: &TcpListener, role: Role, seen: Option<SyncSender<Vec<u8>>>) {
+pub fn database(listener: &TcpListener, role: Role, seen: Option<SyncSender<Vec<u8>>>, spoil: Spoil) {
     for client in listener.incoming().flatten() {
         let seen = seen.clone();
         // A connection that breaks ends its thread; there is nothing to clean up.
-        thread::spawn(move || session(client, role, seen));
+        thread::spawn(move || session(client, role, seen, spoil));
     }
 }
 
-fn session(mut client: TcpStream, role: Role, seen: Option<SyncSender<Vec<u8>>>) -> io::Result<()> {
+fn session(
+    mut client: TcpStream,
+    role: Role,
+    seen: Option<SyncSender<Vec<u8>>>,
+    spoil: Spoil,
+) -> io::Result<()> {
     client.set_nodelay(true)?;
     read_body(&mut client)?;
     client.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
@@ -64,6 +72,9 @@
         if let Some(seen) = seen.as_ref().filter(|_| !reports) {
             let _ = seen.send(statement.to_vec());
         }
+        if let Some(instead) = spoil(statement).filter(|_| !reports) {
+            return client.write_all(&instead);
+        }
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let primary = role == Role::Primary;
         let mut answer = if reports {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -32,18 +32,18 @@
 }
 
 fn start() -> Gateway {
-    start_with(1000)
+    start_with(1000, |_| None)
 }
 
 /// A gateway whose databases answer a statement once it is among so many that are still to be taken note of.
-fn start_with(unseen: usize) -> Gateway {
+fn start_with(unseen: usize, spoil: toy::Spoil) -> Gateway {
     let (tell, seen) = sync_channel(unseen);
     let mut config = EXAMPLE.to_owned();
     for (port, role) in [("5501", toy::Role::Primary), ("5502", toy::Role::Replica)] {
         let (listener, tell) = (listen(), tell.clone());
         let address = listener.local_addr().expect("bound").to_string();
         config = config.replace(&format!("127.0.0.1:{port}"), &address);
-        thread::spawn(move || toy::database(&listener, role, Some(tell)));
+        thread::spawn(move || toy::database(&listener, role, Some(tell), spoil));
     }
     let from = config.find("{\"revision\"").expect("a list");
     let to = config.find("]},").expect("its end") + 2;
@@ -165,6 +165,41 @@
     assert_eq!(tags, ["TDCZ", "CZ", "TDCZ", "IZ"]);
 }
 
+/// The code of the error in an answer.
+fn code(bytes: &[u8]) -> &[u8] {
+    let at = bytes.windows(2).position(|field| field == b"\0C").expect("a code");
+    &bytes[at + 2..at + 7]
+}
+
+#[test]
+fn half_an_answer_fails_a_write_is_never_resent_and_a_read_is_but_never_looks_whole() {
+    let gateway = start_with(1000, |_| {
+        let whole = toy::row(b"\x9f\x03toy");
+        Some(whole[..whole.len() - 4].to_vec())
+    });
+    let mut client = Client::ready(&gateway);
+    client.send(&query(b"INSERT INTO entries VALUES ('k') /* id=w,c=booking,d=5000,cluster=0 */"));
+    let (tags, bytes) = client.answer();
+    // It may have run: failed, not refused.
+    assert_eq!((tags.as_str(), code(&bytes)), ("EZ", &b"58000"[..]));
+    let ran = |statement: &Vec<u8>| statement.starts_with(b"INSERT");
+    assert_eq!(gateway.seen.try_iter().filter(ran).count(), 1);
+    client.send(&query(&read("r")));
+    let (tags, bytes) = client.answer();
+    assert_eq!((tags.as_str(), code(&bytes)), ("EZ", &b"53300"[..]));
+    assert!(gateway.seen.try_iter().count() > 1, "a safe read was tried again");
+}
+
+#[test]
+fn an_error_code_that_means_refused_is_not_passed_on_for_a_write_that_may_have_run() {
+    let gateway = start_with(1000, |_| Some(toy::message(b'E', b"SFATAL\0C57P03\0Mgoing down\0\0")));
+    let mut client = Client::ready(&gateway);
+    client.send(&query(b"INSERT INTO entries VALUES ('k') /* id=w,c=booking,d=5000,cluster=0 */"));
+    let (tags, bytes) = client.answer();
+    assert_eq!((tags.as_str(), code(&bytes)), ("EZ", &b"58000"[..]));
+    assert_eq!(gateway.seen.try_iter().count(), 1);
+}
+
 #[test]
 fn what_makes_no_sense_gets_an_error_and_lost_framing_ends_the_connection() {
     let gateway = start();
@@ -199,7 +234,7 @@
 
 #[test]
 fn on_sigterm_it_answers_what_it_owes_closes_idle_connections_late_and_exits_well() {
-    let mut gateway = start_with(0);
+    let mut gateway = start_with(0, |_| None);
     let mut idle = Client::ready(&gateway);
     let mut busy = Client::ready(&gateway);
     busy.send(&query(&read("c")));
