--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -208,3 +208,60 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use may::sync::mpsc::channel;
+
+    #[derive(Default)]
+    struct Orders(Mutex<Vec<String>>);
+
+    impl Inbox for Orders {
+        fn order(&self, order: Order) {
+            self.0.lock().expect("not poisoned").push(format!("{order:?}"));
+        }
+    }
+
+    #[test]
+    fn a_list_with_one_bad_entry_leaves_the_old_one_standing() {
+        let config = Config::parse(include_bytes!("../../../examples/config.json"), |_| None).expect("good");
+        let clock = Clock::start();
+        let (probes, asked) = channel();
+        let (watches, watched) = channel();
+        let core = Core::new(&config, clock, Timer::new(clock), probes, watches).expect("good");
+        core.listed(ListKind::WarmCopy, &config.known).expect("good");
+        assert!(watched.try_recv().is_ok());
+        let probed: Vec<(MemberId, SocketAddr)> = asked.try_iter().collect();
+        assert_eq!(probed.len(), 2, "both are probed before a first send");
+
+        let spoil: [fn(&mut Listing); 2] = [
+            |list| list.members[1].state = "odd".into(),
+            |list| list.members[1].address = "x".into(),
+        ];
+        for spoil in spoil {
+            let mut bad = config.known.clone();
+            bad.members.remove(0);
+            bad.members.push(bad.members[0].clone());
+            spoil(&mut bad);
+            assert!(core.listed(ListKind::Full, &bad).is_err());
+        }
+        // The primary, which those lists left out, still gets a write.
+        let primary = Note { role: Some(Role::Primary), position: None };
+        core.probed(probed[0].0, Outcome::Served, primary);
+        let inbox = Arc::new(Orders::default());
+        let arrival = Arrival {
+            request: RequestId(0),
+            class: ClassId(1),
+            tenant: TenantId(0),
+            session: None,
+            due: clock.now() + 3_000_000,
+            estimate: None,
+            group: GroupId(0),
+            since_write: None,
+        };
+        core.arrive(arrival, inbox.clone());
+        let orders = inbox.0.lock().expect("not poisoned");
+        assert!(orders[0].starts_with("Send") && orders[0].contains(&probed[0].1.to_string()), "{orders:?}");
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -32,13 +32,13 @@
 }
 
 fn start() -> Gateway {
-    start_with(1000, |_| None)
+    start_with(1000, 1024, |_| None)
 }
 
 /// A gateway whose databases answer a statement once it is among so many that are still to be taken note of.
-fn start_with(unseen: usize, spoil: toy::Spoil) -> Gateway {
+fn start_with(unseen: usize, sockets: u32, spoil: toy::Spoil) -> Gateway {
     let (tell, seen) = sync_channel(unseen);
-    let mut config = EXAMPLE.to_owned();
+    let mut config = EXAMPLE.replace("1024", &sockets.to_string());
     for (port, role) in [("5501", toy::Role::Primary), ("5502", toy::Role::Replica)] {
         let (listener, tell) = (listen(), tell.clone());
         let address = listener.local_addr().expect("bound").to_string();
@@ -165,6 +165,17 @@
     assert_eq!(tags, ["TDCZ", "CZ", "TDCZ", "IZ"]);
 }
 
+#[test]
+fn more_clients_than_descriptors_are_served_in_turn_by_closing_idle_connections() {
+    // 96 descriptors leave room for 20 clients.
+    let gateway = start_with(1000, 96, |_| None);
+    let mut clients: Vec<Client> = (0..60).map(|_| Client::ready(&gateway)).collect();
+    let last = clients.last_mut().expect("60 clients");
+    last.send(&query(&read("z")));
+    assert_eq!(last.answer().0, "TDCZ");
+    assert_eq!(clients[0].answer().0, "", "closed between requests");
+}
+
 /// The code of the error in an answer.
 fn code(bytes: &[u8]) -> &[u8] {
     let at = bytes.windows(2).position(|field| field == b"\0C").expect("a code");
@@ -173,7 +184,7 @@
 
 #[test]
 fn half_an_answer_fails_a_write_is_never_resent_and_a_read_is_but_never_looks_whole() {
-    let gateway = start_with(1000, |_| {
+    let gateway = start_with(1000, 1024, |_| {
         let whole = toy::row(b"\x9f\x03toy");
         Some(whole[..whole.len() - 4].to_vec())
     });
@@ -192,7 +203,7 @@
 
 #[test]
 fn an_error_code_that_means_refused_is_not_passed_on_for_a_write_that_may_have_run() {
-    let gateway = start_with(1000, |_| Some(toy::message(b'E', b"SFATAL\0C57P03\0Mgoing down\0\0")));
+    let gateway = start_with(1000, 1024, |_| Some(toy::message(b'E', b"SFATAL\0C57P03\0Mgoing down\0\0")));
     let mut client = Client::ready(&gateway);
     client.send(&query(b"INSERT INTO entries VALUES ('k') /* id=w,c=booking,d=5000,cluster=0 */"));
     let (tags, bytes) = client.answer();
@@ -234,7 +245,7 @@
 
 #[test]
 fn on_sigterm_it_answers_what_it_owes_closes_idle_connections_late_and_exits_well() {
-    let mut gateway = start_with(0, |_| None);
+    let mut gateway = start_with(0, 1024, |_| None);
     let mut idle = Client::ready(&gateway);
     let mut busy = Client::ready(&gateway);
     busy.send(&query(&read("c")));
