Retry an unanswered discovery call sooner; wake the timer thread only for an earlier alarm

Discovery gives up on a call after 2 s, so one without an answer for 2.5 s is lost; before, it was waited for as long as a silent watch, 4 s of the 6 s after which changes count as told.

--- a/src/bin/asterreel/discovery.rs
+++ b/src/bin/asterreel/discovery.rs
@@ -10,6 +10,8 @@
 
 /// How long a connection to discovery may take.
 const CONNECT: Micros = 1_000_000;
+/// How long a call may go without the first byte of its answer; discovery itself gives up on one after 2 s.
+const CALL: Micros = 2_500_000;
 /// How long a watch may be silent: two of its heartbeats.
 const SILENCE: Micros = 4_000_000;
 /// The longest head of an answer, and the longest line, that are taken in.
@@ -32,7 +34,7 @@
         Err(error) => return format!("connect: {error}"),
     };
     let call = format!("GET /v1/servers?watch=1&after={revision} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-    let mut silent_at = core.clock.now() + SILENCE;
+    let mut silent_at = core.clock.now() + CALL;
     let mut alarm = core.timer.alarm(silent_at, stream.waker());
     if let Err(error) = stream.write_all(call.as_bytes(), || core.clock.now() < silent_at) {
         return format!("call: {error}");
--- a/src/bin/asterreel/timer.rs
+++ b/src/bin/asterreel/timer.rs
@@ -46,13 +46,16 @@
 
     /// Wakes a coroutine that waits on its socket at this time.
     pub fn alarm(self: &Arc<Self>, at: Micros, waker: WaitIoWaker) -> Alarm {
-        let key = self.locked(|queue| {
+        let (key, first) = self.locked(|queue| {
             queue.next += 1;
             let key = (at, queue.next);
             queue.alarms.insert(key, waker);
-            key
+            (key, queue.alarms.first_key_value().is_some_and(|(first, _)| *first == key))
         });
-        self.sooner.notify_one();
+        // The thread already wakes in time for any other.
+        if first {
+            self.sooner.notify_one();
+        }
         Alarm { timer: self.clone(), key }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
-//! The decisions of a query router for sharded, replicated databases.
+//! The decisions of a gateway for replicated databases, and how their settings and lists are decoded.
 //!
-//! The library does no input or output. A front feeds a [`policy::Router`] with
-//! [`interface::Event`]s and carries out the [`interface::Action`]s it answers with.
+//! [`policy`], its state and [`interface`] do no input or output: a front feeds a [`policy::Router`] with
+//! [`interface::Event`]s and carries out the [`interface::Action`]s it answers with. [`config`] reads the file
+//! and environment that a gateway is started with.
 #![doc = include_str!("../README.md")]
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
