Give the watch's coroutine a stack that the JSON decoder can't overflow

Found by a test: a list whose zone is nested 100,000 deep ends in the decoder's own limit of 128 levels, but in a debug build those overflowed 128 KiB of stack (Item.campus is buffered, src/settings.rs). The watch now runs on 1 MiB, of which only what is touched takes memory.

--- a/src/bin/asterreel/discovery.rs
+++ b/src/bin/asterreel/discovery.rs
@@ -213,4 +213,20 @@
         let refused = Reader::default().take(b"HTTP/1.1 503 Busy\r\n\r\n");
         assert_eq!(refused, Err("status 503".into()));
     }
+
+    #[test]
+    fn a_deeply_nested_list_is_an_error_and_fits_the_stack() {
+        // serde_json stops at 128 levels; a zone is buffered, which recurses.
+        let nested = |depth| format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+        let line = |depth| {
+            format!(
+                "{{\"revision\":1,\"members\":[{{\"id\":\"s\",\"phase\":\"ready\",\"locality\":{}}}]}}",
+                nested(depth)
+            )
+        };
+        let lines = [line(100), line(100_000), nested(100_000)];
+        let parse = move || lines.map(|line| serde_json::from_str::<Listing>(&line).is_err());
+        let parsed = may::go!(may::coroutine::Builder::new().stack_size(crate::net::JSON_STACK_WORDS), parse);
+        assert_eq!(parsed.expect("started").join().expect("no panic"), [true; 3]);
+    }
 }
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -88,7 +88,8 @@
     core.listed(ListKind::WarmCopy, &config.known)
         .map_err(|fault| format!("configuration: known: {fault}"))?;
     let (watching, address, revision) = (core.clone(), config.discovery, config.known.revision);
-    net::spawn(move || discovery::run(&watching, address, revision, &watches_asked));
+    let watch = move || discovery::run(&watching, address, revision, &watches_asked);
+    net::spawn_with_stack(net::JSON_STACK_WORDS, watch)?;
 
     let gateway = Gateway::new(core, pool, &config.setup, &config.settings.needs, clients);
     let gateway = Arc::new(gateway);
--- a/src/bin/asterreel/net.rs
+++ b/src/bin/asterreel/net.rs
@@ -13,6 +13,10 @@
 /// the process, and only what is touched takes memory. An odd number makes may report what was used.
 pub const STACK_WORDS: usize = 0x4000;
 
+/// The same for the coroutine that decodes JSON (1 MiB): nested as deep as the decoder lets it, a line used up
+/// 128 KiB.
+pub const JSON_STACK_WORDS: usize = 0x20000;
+
 /// Starts a coroutine. `go!` hides an unsafe block: a coroutine that overflows its stack or leans on a
 /// thread-local across a yield is undefined. Nothing here keeps a thread-local or a tracing span across a
 /// wait, and the stack is many times what was measured.
@@ -20,6 +24,11 @@
     may::go!(work);
 }
 
+/// The same with a stack of so many words.
+pub fn spawn_with_stack(words: usize, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    may::go!(may::coroutine::Builder::new().stack_size(words), work).map(drop)
+}
+
 /// Bytes that came in and are not used up yet; grows as needed and is compacted in place.
 #[derive(Default)]
 pub struct Buffer {
