Serve on when the log is closed

tracing-subscriber reports a log line that it can't write with eprintln!, which panics when standard error is closed; the panic ended the coroutine that logged (src/bin/asterreel/main.rs). tests/gateway.rs: a_closed_log_stops_no_service fails without the change.

--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -42,7 +42,9 @@
 fn main() -> ExitCode {
     let level = std::env::var("RELAY_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.unwrap_or(LevelFilter::INFO);
-    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+    // A log that can't be written is reported on standard error, and that panics when it is closed.
+    let log = tracing_subscriber::fmt().log_internal_errors(false).with_max_level(level);
+    log.with_writer(std::io::stderr).with_ansi(false).init();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,6 +4,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver};
@@ -37,6 +39,10 @@
 
 /// A gateway whose databases answer a statement once it is among so many that are still to be taken note of.
 fn start_with(unseen: usize, sockets: u32, spoil: toy::Spoil) -> Gateway {
+    start_logging(unseen, sockets, spoil, Stdio::null())
+}
+
+fn start_logging(unseen: usize, sockets: u32, spoil: toy::Spoil, log: Stdio) -> Gateway {
     let (tell, seen) = sync_channel(unseen);
     let mut config = EXAMPLE.replace("1024", &sockets.to_string());
     for (port, role) in [("5501", toy::Role::Primary), ("5502", toy::Role::Replica)] {
@@ -60,7 +66,7 @@
     file.write_all(config.as_bytes()).expect("written");
     let process = Command::new(env!("CARGO_BIN_EXE_asterreel"))
         .env("RELAY_CONFIG", file.path())
-        .stderr(Stdio::null())
+        .stderr(log)
         .spawn()
         .expect("the gateway starts");
     Gateway { process, address, seen, _config: file }
@@ -272,3 +278,13 @@
     let error = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(error.contains("settings.Allowed.MaxAttempts"), "{error}");
 }
+
+#[test]
+fn a_closed_log_stops_no_service() {
+    let (reader, writer) = UnixStream::pair().expect("a pair");
+    drop(reader);
+    let gateway = start_logging(1000, 1024, |_| None, OwnedFd::from(writer).into());
+    let mut client = Client::ready(&gateway);
+    client.send(&query(&read("q")));
+    assert_eq!(client.answer().0, "TDCZ");
+}
