Read the configuration again on SIGHUP and watch discovery where it names it

Cause: main.rs registered SIGTERM and SIGINT alone, so SIGHUP had its default effect.

Now `config` reads the file again, at the same one place with the same checks. A key that has changed in the file wins over RELAY_DISCOVERY, which a running process can't have changed; an unchanged one leaves what was in force. A bad file changes nothing and is logged with its key. `discovery` ends the old watch at once and asks the new place for everything, with the members known so far standing. SIGHUP during a drain moves the watch and touches nothing else; signals are taken before the configuration is first read.

Tests: a reload beats the environment only where the file changed (tests/config.rs); the watch moves, twice, with bad files in between and members kept, and a drain goes on (tests/gateway.rs). All three fail without the change.

--- a/src/bin/asterreel/discovery.rs
+++ b/src/bin/asterreel/discovery.rs
@@ -4,8 +4,10 @@
 use crate::net::Stream;
 use asterreel::config::Listing;
 use asterreel::interface::{ListKind, Micros};
-use may::sync::mpsc::Receiver;
+use may::io::WaitIoWaker;
+use may::sync::mpsc::{Receiver, Sender};
 use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
 use tracing::{info, warn};
 
 /// How long a connection to discovery may take.
@@ -18,21 +20,63 @@
 const LONGEST_HEAD: usize = 16 * 1024;
 const LONGEST_LINE: usize = 1 << 20;
 
+/// Where discovery is, which may change while it is watched.
+pub struct Source {
+    place: Mutex<(SocketAddr, Option<WaitIoWaker>)>,
+    asks: Sender<()>,
+}
+
+impl Source {
+    pub fn new(address: SocketAddr, asks: Sender<()>) -> Source {
+        Source { place: Mutex::new((address, None)), asks }
+    }
+
+    fn place<T>(&self, work: impl FnOnce(&mut (SocketAddr, Option<WaitIoWaker>)) -> T) -> T {
+        work(&mut self.place.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.place(|place| place.0)
+    }
+
+    /// From now on discovery is watched here; a watch elsewhere ends at once.
+    pub fn move_to(&self, address: SocketAddr) {
+        self.place(|place| {
+            place.0 = address;
+            place.1.iter().for_each(WaitIoWaker::wakeup);
+        });
+        // It may be between two watches, and what the new place tells counts as told soon: don't sit that out.
+        let _ = self.asks.send(());
+    }
+}
+
 /// Watches whenever the module asks for it; a watch that ends is reported as lost.
-pub fn run(core: &Core, address: SocketAddr, mut revision: u64, asked: &Receiver<()>) {
+pub fn run(core: &Core, source: &Source, mut revision: u64, asked: &Receiver<()>) {
     while asked.recv().is_ok() {
-        let fault = watch(core, address, &mut revision);
-        info!("watch lost: {fault}");
+        loop {
+            let address = source.address();
+            let fault = watch(core, source, address, &mut revision);
+            if source.address() == address {
+                info!("watch lost: {fault}");
+                break;
+            }
+            // Members stay known on the way. What another place counts as a version is its own affair, and a
+            // change missed for that would never be told: ask for all there is.
+            revision = 0;
+        }
+        // What was asked for meanwhile has been done; left here, each would make one more watch for good.
+        while asked.try_recv().is_ok() {}
         core.list_lost();
     }
 }
 
 /// Keeps a watch until it ends, and says why it did.
-fn watch(core: &Core, address: SocketAddr, revision: &mut u64) -> String {
+fn watch(core: &Core, source: &Source, address: SocketAddr, revision: &mut u64) -> String {
     let mut stream = match Stream::connect(address, CONNECT, &core.timer) {
         Ok(stream) => stream,
         Err(error) => return format!("connect: {error}"),
     };
+    source.place(|place| place.1 = Some(stream.waker()));
     let call = format!("GET /v1/servers?watch=1&after={revision} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     let mut silent_at = core.clock.now() + CALL;
     let mut alarm = core.timer.alarm(silent_at, stream.waker());
@@ -67,6 +111,10 @@
             Ok(None) => {}
             Err(error) => return error.to_string(),
         }
+        // An old place that still answers must not be listened to any longer.
+        if source.address() != address {
+            return "moved".into();
+        }
         if core.clock.now() >= silent_at {
             return "silent".into();
         }
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -18,18 +18,20 @@
 use crate::client::Gateway;
 use crate::clock::Clock;
 use crate::core::Core;
+use crate::discovery::Source;
 use crate::pool::Pool;
 use crate::timer::Timer;
 use asterreel::config::Config;
 use asterreel::interface::ListKind;
 use may::net::TcpListener;
 use may::sync::mpsc;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use std::error::Error;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tracing::{info, level_filters::LevelFilter};
+use tracing::{info, level_filters::LevelFilter, warn};
 
 /// How long after the signal connections are still kept as if nothing had happened: the front may send new ones
 /// for 0.4 s, and what comes after 0.7 s must be answered before the process may be killed.
@@ -55,8 +57,9 @@
 }
 
 fn run() -> Result<(), Box<dyn Error>> {
+    // Before anything else, so that a signal that comes early ends nothing.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let config = Config::from_env()?;
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
     // One core, so one worker; pinned, all gateways of a machine would share the first core.
     may::config()
         .set_workers(1)
@@ -68,6 +71,7 @@
     let timer = Timer::new(clock);
     let (probes, probes_asked) = mpsc::channel();
     let (watches, watches_asked) = mpsc::channel();
+    let source = Arc::new(Source::new(config.discovery, watches.clone()));
     let core = Arc::new(Core::new(&config, clock, timer.clone(), probes, watches)?);
     let allowed = &config.setup.allowed;
     let to_share = config.sockets.saturating_sub(RESERVED);
@@ -89,8 +93,8 @@
     });
     core.listed(ListKind::WarmCopy, &config.known)
         .map_err(|fault| format!("configuration: known: {fault}"))?;
-    let (watching, address, revision) = (core.clone(), config.discovery, config.known.revision);
-    let watch = move || discovery::run(&watching, address, revision, &watches_asked);
+    let (watching, watched, revision) = (core.clone(), source.clone(), config.known.revision);
+    let watch = move || discovery::run(&watching, &watched, revision, &watches_asked);
     net::spawn_with_stack(net::JSON_STACK_WORDS, watch)?;
 
     let gateway = Gateway::new(core, pool, &config.setup, &config.settings.needs, clients);
@@ -101,21 +105,61 @@
     net::spawn(move || client::accept(&accepting, &listener));
     info!(name = config.name, listen = %config.listen, "serving");
 
-    signals.forever().next();
-    drain(&config, &gateway);
+    let mut current = config;
+    while signals.wait().fold(true, |serve, signal| serve & serves_on(signal, &mut current, &source)) {}
+    drain(&gateway, &mut signals, &mut current, &source);
     Ok(())
 }
 
+/// Takes in a signal; false when it asks to end.
+fn serves_on(signal: i32, config: &mut Config, source: &Source) -> bool {
+    if signal == SIGHUP {
+        match config.again_from_env() {
+            Ok(again) => take_over(config, again, source),
+            Err(error) => warn!("{error}; the configuration in force stays"),
+        }
+    }
+    signal == SIGHUP
+}
+
+/// Puts a configuration that was read again into force, as far as a running gateway can.
+fn take_over(config: &mut Config, again: Config, source: &Source) {
+    info!(discovery = %again.discovery, "configuration read again");
+    let later = [
+        ("name", config.name != again.name),
+        ("listen", config.listen != again.listen),
+        ("limits", config.sockets != again.sockets),
+        ("settings", config.settings != again.settings),
+    ];
+    for (key, _) in later.iter().filter(|(_, changed)| *changed) {
+        warn!("configuration: {key}: the change takes effect at the next start");
+    }
+    if config.discovery != again.discovery {
+        source.move_to(again.discovery);
+    }
+    *config = again;
+}
+
 /// Serves on while clients still come, then closes connections between requests, and returns when none is
 /// left or nothing can be owed any more.
-fn drain(config: &Config, gateway: &Gateway) {
+fn drain(gateway: &Gateway, signals: &mut Signals, config: &mut Config, source: &Source) {
     info!("draining");
-    std::thread::sleep(KEEP_SERVING);
-    gateway.drain();
     let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    // A drain may be under way when discovery moves: follow it, and let nothing else touch the drain.
+    let mut pause = || {
+        for signal in signals.pending() {
+            serves_on(signal, config, source);
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    let began = Instant::now();
+    while began.elapsed() < KEEP_SERVING {
+        pause();
+    }
+    gateway.drain();
     let until = Instant::now() + Duration::from_micros(longest) + LAST_ANSWERS;
     while gateway.open_sessions() > 0 && Instant::now() < until {
-        std::thread::sleep(Duration::from_millis(10));
+        pause();
     }
     info!(left = gateway.open_sessions(), "stopped");
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,8 @@
 //! The one place where a gateway's configuration is read, checked and given defaults.
 //!
 //! `RELAY_CONFIG` names a JSON file; `RELAY_NAME`, `RELAY_LISTEN` and `RELAY_DISCOVERY` override its keys
-//! `name`, `listen` and `discovery`. Every error names the key at fault.
+//! `name`, `listen` and `discovery`. Every error names the key at fault. The file can be read again while the
+//! gateway runs.
 
 use crate::interface::Settings;
 use crate::settings::{Item, Setup};
@@ -17,6 +18,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// The same as the file has it, to tell whether it has changed there.
+    discovery_in_file: Option<String>,
     /// Seed of the random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -90,15 +93,29 @@
 impl Config {
     /// Reads the configuration that the environment names.
     pub fn from_env() -> Result<Config, BadConfig> {
-        let variable = |name: &str| std::env::var(name).ok();
-        let path = variable("RELAY_CONFIG").ok_or_else(|| bad("RELAY_CONFIG", "is not set"))?;
-        let text = std::fs::read(&path)
-            .map_err(|error| bad("RELAY_CONFIG", &format!("cannot read {path}: {error}")))?;
-        Config::parse(&text, variable)
+        Config::parse(&text_from_env()?, variable)
+    }
+
+    /// Reads the file again; this configuration stands if that fails.
+    pub fn again_from_env(&self) -> Result<Config, BadConfig> {
+        self.again(&text_from_env()?, variable)
     }
 
     /// Checks the text of a configuration; `variable` looks up the environment.
     pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, BadConfig> {
+        Config::check(text, variable, None)
+    }
+
+    /// Checks a text that is to take the place of this configuration.
+    pub fn again(&self, text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, BadConfig> {
+        Config::check(text, variable, Some(self))
+    }
+
+    fn check(
+        text: &[u8],
+        variable: impl Fn(&str) -> Option<String>,
+        before: Option<&Config>,
+    ) -> Result<Config, BadConfig> {
         let mut json = serde_json::Deserializer::from_slice(text);
         let file: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|error| bad(&error.path().to_string(), &error.inner().to_string()))?;
@@ -107,10 +124,17 @@
                 Some(text) => (name, text),
                 None => (key, told.ok_or_else(|| bad(key, "is missing"))?),
             };
-            text.parse().map_err(|_| bad(from, &format!("{text:?} is not an address and port")))
+            parse_address(from, &text)
         };
         let listen = address("RELAY_LISTEN", "listen", file.listen)?;
-        let discovery = address("RELAY_DISCOVERY", "discovery", file.discovery)?;
+        // The environment of a running process can't change. A key that has changed in the file since is newer
+        // and wins; one that has not leaves what was in force.
+        let discovery_in_file = file.discovery.clone();
+        let discovery = match (before, file.discovery) {
+            (Some(before), told) if told == before.discovery_in_file => before.discovery,
+            (Some(_), Some(told)) => parse_address("discovery", &told)?,
+            (_, told) => address("RELAY_DISCOVERY", "discovery", told)?,
+        };
         let seed = match &file.seed {
             Some(seed) => u64::from_str_radix(seed, 16)
                 .map_err(|_| bad("seed", &format!("{seed:?} is not a number of 64 bits in hex")))?,
@@ -130,6 +154,7 @@
             name: variable("RELAY_NAME").or(file.name).unwrap_or_else(|| "asterreel".into()),
             listen,
             discovery,
+            discovery_in_file,
             seed,
             sockets: file.limits.sockets,
             known: file.known,
@@ -139,6 +164,19 @@
     }
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn text_from_env() -> Result<Vec<u8>, BadConfig> {
+    let path = variable("RELAY_CONFIG").ok_or_else(|| bad("RELAY_CONFIG", "is not set"))?;
+    std::fs::read(&path).map_err(|error| bad("RELAY_CONFIG", &format!("cannot read {path}: {error}")))
+}
+
+fn parse_address(key: &str, text: &str) -> Result<SocketAddr, BadConfig> {
+    text.parse().map_err(|_| bad(key, &format!("{text:?} is not an address and port")))
+}
+
 fn bad(key: &str, fault: &str) -> BadConfig {
     BadConfig { key: key.into(), fault: fault.into() }
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -40,3 +40,22 @@
     }
     assert_eq!(Config::from_env().expect_err("not set here").key, "RELAY_CONFIG");
 }
+
+#[test]
+fn read_again_a_changed_key_beats_the_environment_and_an_unchanged_one_leaves_what_was_in_force() {
+    let told = |name: &str| (name == "RELAY_DISCOVERY").then(|| "127.0.0.2:1".to_owned());
+    let start = Config::parse(EXAMPLE.as_bytes(), told).expect("good");
+    let moved = EXAMPLE.replace("127.0.0.1:8500", "127.0.0.3:1");
+    let mut current = start;
+    for (text, discovery) in [
+        (EXAMPLE, "127.0.0.2:1"),
+        (&moved, "127.0.0.3:1"),
+        (&moved, "127.0.0.3:1"),
+        (EXAMPLE, "127.0.0.1:8500"),
+    ] {
+        current = current.again(text.as_bytes(), told).expect("good");
+        assert_eq!(current.discovery.to_string(), discovery);
+    }
+    let bad = EXAMPLE.replace("127.0.0.1:8500", "nowhere");
+    assert_eq!(current.again(bad.as_bytes(), told).expect_err("bad").key, "discovery");
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -19,7 +19,22 @@
     address: SocketAddr,
     /// The statements that the databases got.
     seen: Receiver<Vec<u8>>,
-    _config: tempfile::NamedTempFile,
+    /// The configuration file and its text.
+    file: tempfile::NamedTempFile,
+    config: String,
+}
+
+impl Gateway {
+    fn signal(&self, name: &str) {
+        let told = Command::new("kill").arg(name).arg(self.process.id().to_string()).status();
+        assert!(told.expect("kill runs").success());
+    }
+
+    /// Replaces the configuration file and says so.
+    fn reload(&self, config: &str) {
+        std::fs::write(self.file.path(), config).expect("written");
+        self.signal("-HUP");
+    }
 }
 
 impl Drop for Gateway {
@@ -69,7 +84,7 @@
         .stderr(log)
         .spawn()
         .expect("the gateway starts");
-    Gateway { process, address, seen, _config: file }
+    Gateway { process, address, seen, file, config }
 }
 
 struct Client(TcpStream);
@@ -256,8 +271,7 @@
     let mut busy = Client::ready(&gateway);
     busy.send(&query(&read("c")));
     let signalled = Instant::now();
-    let told = Command::new("kill").arg("-TERM").arg(gateway.process.id().to_string()).status();
-    assert!(told.expect("kill runs").success());
+    gateway.signal("-TERM");
     assert_eq!(idle.answer().0, "", "closed");
     assert!(signalled.elapsed() >= Duration::from_millis(700), "clients may still use it for so long");
     // Only now does the database answer.
@@ -288,3 +302,42 @@
     client.send(&query(&read("q")));
     assert_eq!(client.answer().0, "TDCZ");
 }
+
+/// A place for discovery, with a key of the configuration that names it.
+fn discovery_place() -> (TcpListener, String) {
+    let listener = listen();
+    let key = format!("\"discovery\": \"{}\"", listener.local_addr().expect("bound"));
+    (listener, key)
+}
+
+#[test]
+fn on_sighup_discovery_is_watched_at_its_new_address_and_a_bad_file_changes_nothing() {
+    let gateway = start();
+    let mut client = Client::ready(&gateway);
+    let from = gateway.config.find("\"discovery\": ").expect("the key");
+    let to = from + gateway.config[from..].find(',').expect("its end");
+    let mut call = [0; 64];
+    for _ in 0..2 {
+        // A file that can't be used: nothing ends, and the next one is read all the same.
+        gateway.reload("{\"listen\": ");
+        let (listener, key) = discovery_place();
+        gateway.reload(&[&gateway.config[..from], &key, &gateway.config[to..]].concat());
+        // The old place is still up, and its watch open.
+        let (mut watch, _) = listener.accept().expect("the gateway calls");
+        watch.read_exact(&mut call).expect("a call");
+        assert!(call.starts_with(b"GET /v1/servers?watch=1&after=0 "), "everything is asked for");
+        // The new place is silent: the members stay known.
+        client.send(&query(&read("h")));
+        assert_eq!(client.answer().0, "TDCZ");
+    }
+}
+
+#[test]
+fn on_sighup_a_drain_goes_on() {
+    let mut gateway = start();
+    let mut idle = Client::ready(&gateway);
+    gateway.signal("-TERM");
+    gateway.signal("-HUP");
+    assert_eq!(idle.answer().0, "");
+    assert!(gateway.process.wait().expect("it ends").success());
+}
