Let reports use half of the standbys, try an idle one again, and ignore a handover's old word

A line at each give-up, with the group's members, showed why: for up to 20 s at a time reports waited for one standby with nothing in flight and a pressure of 0.84 that never moved (src/policy.rs, `pick`: `pressed` looks at a mean which only answers move). One standby also can't bear them: reports need about 6.5 cores of a group's 15, a database has 3.

The bookings: while a primary hands over, reads and writes sent to it earlier are still answered as a primary's. Each answer marked it active (`hear`), and held writes spent an attempt on a miss.

Now reports gather on the furthest behind half of the standbys, the first with room; one that is idle gets a trial; nobody lags, two choices as before. A primary's word asked for before its last write miss marks nothing. Four tests in tests/failures.rs, three of which fail without the change; one that any-reads wait while their standby is late now keeps an attempt out there.

A debug line now tells the role in each answer.

--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -335,7 +335,7 @@
                         out.extend_from_slice(&end.rows);
                     }
                     let latency = core.clock.now().saturating_sub(sent);
-                    debug!(request = id.0, attempt = attempt.0, outcome = ?end.outcome, latency);
+                    debug!(request = id.0, attempt = attempt.0, outcome = ?end.outcome, role = ?end.note.role, latency);
                     core.ended(Ended {
                         request: id,
                         attempt,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,6 +18,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Bad results in a row that fail a member. The paper's default.
@@ -267,6 +268,7 @@
         let member = self.members.get_mut(&id).filter(|m| may && !m.probe_out);
         let Some(member) = member.filter(|m| !m.drain_binds(&self.settings)) else { return };
         member.probe_out = true;
+        member.probed_at = self.now;
         self.out.push(Action::Probe(id));
     }
 
@@ -296,14 +298,14 @@
     fn probed(&mut self, id: MemberId, outcome: Outcome, report: Note) {
         let Some(member) = self.members.get_mut(&id) else { return };
         member.probe_out = false;
-        let group = member.group;
+        let (group, asked) = (member.group, member.probed_at);
         if outcome == Outcome::Served {
             member.verified = true;
             // A shallow probe shows that the process runs; it does not excuse unanswered requests.
             if !member.mute {
                 member.errors = 0;
             }
-            self.hear(id, report);
+            self.hear(id, report, asked);
         } else if outcome != Outcome::Full && self.stalled_at != self.now {
             // A probe turned away for too many others says only that the process runs.
             self.count_error(id);
@@ -414,8 +416,10 @@
         reads.map(|(class, _)| self.value(class)).fold(f64::MIN_POSITIVE, f64::max)
     }
 
-    /// Takes in a role and a position. The latest word on the role decides the mark.
-    fn hear(&mut self, id: MemberId, note: Note) {
+    /// Takes in a role and a position, as answered to what was asked then. The latest word on the role decides
+    /// the mark; that of a primary which has turned a write away since is old: it says so until it has handed
+    /// over, and each time held writes would spend an attempt on it. Harm: its own mark waits for a new answer.
+    fn hear(&mut self, id: MemberId, note: Note, asked: Micros) {
         let now = self.now;
         let Some(member) = self.members.get_mut(&id) else { return };
         if let Some(position) = note.position.filter(|at| *at >= member.position) {
@@ -424,6 +428,7 @@
             member.missed_until = 0;
         }
         match note.role {
+            Some(Role::Primary) if asked < member.declined_at => {}
             Some(Role::Primary) => self.mark(id),
             Some(Role::Replica) => self.unmark(id),
             None => {}
@@ -562,14 +567,15 @@
         let attempt = &mut request.attempts[number];
         attempt.out = false;
         attempt.may_have_run = !proves_nothing_ran(ended.outcome);
-        let member = attempt.member;
+        let (member, sent) = (attempt.member, attempt.sent);
         let (class, need, group) = (request.class(), request.need, request.arrival.group);
         let session = request.arrival.session;
-        self.hear(member, ended.report);
+        self.hear(member, ended.report, sent);
         self.judge(member, class, &ended);
-        self.hear(member, ended.note);
-        let until = self.now.saturating_add(PROBE_EVERY);
+        self.hear(member, ended.note, sent);
+        let (now, until) = (self.now, self.now.saturating_add(PROBE_EVERY));
         if ended.outcome == Outcome::Miss && need == Need::Write {
+            self.members.entry(member).and_modify(|m| m.declined_at = now);
             self.unmark(member);
         } else if ended.outcome == Outcome::Miss {
             self.members.entry(member).and_modify(|member| member.missed_until = until);
@@ -821,23 +827,29 @@
             return active(SPILL_SHARE).filter(|_| quick && self.welcome(request, true));
         }
         let proven = in_sync.iter().any(|member| member.verified);
-        in_sync.retain(|m| m.verified == proven && self.admits(m, 1.0));
-        let gather = self.furthest_behind(&in_sync).filter(|_| request.need == Need::Any);
-        // Where they gather answers late, more would only time out there, and elsewhere they would stop the
-        // log: they wait. Harm: a report that a quiet group could have borne comes later.
-        let pressed = |id: &MemberId| self.members.get(id).is_some_and(|m| m.pressure > PRESSED);
-        if gather.as_ref().is_some_and(pressed) {
-            return None;
-        }
-        gather.or_else(|| self.less_busy_of_two(&in_sync))
-    }
-
-    /// Any-reads may block applying where they run. They gather on the warm standby furthest behind while it
-    /// has room, so that the others stay in sync. Harm: a limit learned too high would crowd that one.
-    fn furthest_behind(&self, members: &[&Member]) -> Option<MemberId> {
-        let warm = |m: &Member| m.warmth(&self.settings, self.now) >= 1.0;
-        let behind = members.iter().filter(|m| m.lag() > LAG_APART && warm(m));
-        behind.max_by_key(|m| m.lag()).map(|m| m.id)
+        in_sync.retain(|m| m.verified == proven);
+        if request.need == Need::Any {
+            return self.gather(&in_sync);
+        }
+        in_sync.retain(|m| self.admits(m, 1.0));
+        self.less_busy_of_two(&in_sync)
+    }
+
+    /// Any-reads may block applying where they run. Once they do, they gather on the standbys furthest behind,
+    /// half of them at most, so that the others stay in sync. Where answers come late more would only time out;
+    /// but only what is out there can ease the pressure, so with nothing in flight a trial is due. Harm: a
+    /// report that a quiet group could have borne comes later.
+    fn gather(&self, members: &[&Member]) -> Option<MemberId> {
+        let cold = |m: &Member| m.warmth(&self.settings, self.now) < 1.0;
+        let mut behind = members.to_vec();
+        behind.sort_by_key(|m| (cold(m), Reverse(m.lag())));
+        behind.truncate((members.len() / 2).max(1));
+        if behind.first().is_some_and(|m| m.lag() <= LAG_APART || cold(m)) {
+            behind = members.iter().copied().filter(|m| self.admits(m, 1.0)).collect();
+            return self.less_busy_of_two(&behind);
+        }
+        let eased = |m: &&&Member| m.in_flight == 0 || m.pressure <= PRESSED;
+        behind.iter().filter(eased).find(|m| self.admits(m, 1.0)).map(|m| m.id)
     }
 
     fn less_busy_of_two(&self, members: &[&Member]) -> Option<MemberId> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,6 +36,9 @@
     /// It has answered something since it was listed or restarted.
     pub verified: bool,
     pub probe_out: bool,
+    pub probed_at: Micros,
+    /// When it last turned a write away.
+    pub declined_at: Micros,
     pub trial_at: Micros,
     pub asked_at: Micros,
     /// Own attempts that are out.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -341,11 +341,15 @@
     assert!(!front.router.may_write(front.now, any, member));
 }
 
-/// A front whose member 2 lags and gathers the any-reads; those are answered there this late.
-fn gathering(latency: Micros) -> (Front, bool) {
+/// A front whose member 2 lags and gathers the any-reads, one of which stays out where told; the others are
+/// answered there this late.
+fn gathering(latency: Micros, one_out: bool) -> (Front, bool) {
     let mut front = Front::ready(settings(), 4);
     front.now += 500 * MS;
     front.tell_behind(2, Role::Replica, 350 * MS);
+    if one_out {
+        front.arrive(ANY);
+    }
     for _ in 0..20 {
         let (read, actions) = front.arrive(ANY);
         let to = sends(&actions).first().map(|(_, m)| *m);
@@ -362,16 +366,63 @@
 #[test]
 fn any_reads_wait_while_the_standby_they_gather_on_is_late() {
     // The wanted time is 400 ms: more reads would only time out there, or block the other standbys' log.
-    assert!(!gathering(100 * MS).1, "in good time: they go on gathering");
-    let (mut front, held) = gathering(390 * MS);
+    assert!(!gathering(100 * MS, true).1, "in good time: they go on gathering");
+    let (mut front, held) = gathering(390 * MS, true);
     assert!(held, "late: they wait");
     let (_, actions) = front.arrive(BOUNDED);
     assert_ne!(sends(&actions)[0].1, 2, "others go on");
 }
 
+/// A churn day: what was learned of the standby that reports gathered on stood still once it got no more, so it
+/// sat idle for 20 s while half of all reports were refused.
+#[test]
+fn the_standby_that_any_reads_gather_on_is_tried_again_once_it_is_idle() {
+    let (front, held) = gathering(390 * MS, false);
+    assert!(!held && front.next == 20, "each answer lets the next one go");
+}
+
+/// The same days: one standby can't bear all reports of a busy group, and spread they stop the log everywhere.
+#[test]
+fn any_reads_that_find_no_room_go_on_to_half_of_the_standbys_at_most() {
+    let mut front = Front::ready(settings(), 5);
+    front.now += 500 * MS;
+    for (m, lag) in [(1, 400), (2, 300), (3, 200), (4, 10)] {
+        front.tell_behind(m, Role::Replica, lag * MS);
+    }
+    let placed = (0..40).flat_map(|_| sends(&front.arrive(ANY).1)).map(|(_, m)| m).collect::<Vec<u32>>();
+    let full = placed.iter().filter(|m| **m == 1).count();
+    assert!(full > 1 && placed[..full].iter().all(|m| *m == 1), "the furthest behind first: {placed:?}");
+    assert_eq!(placed[full..], vec![2; full], "then the next, then they wait");
+}
+
+/// A primary that hands over says so only at the end: until then its answers to reads sent earlier marked it
+/// active again, and each time held writes spent attempts on it until they had none left.
+#[test]
+fn a_primarys_word_older_than_its_last_write_miss_does_not_mark_it() {
+    let mut front = Front::ready(settings(), 2);
+    let (old, actions) = front.arrive(FRESH);
+    assert_eq!(sends(&actions), [(old, 0)]);
+    front.now += MS;
+    let (write, actions) = front.arrive(WRITE);
+    assert_eq!(sends(&actions), [(write, 0)]);
+    front.now += MS;
+    front.ends(write, 0, Outcome::Miss, Note::default());
+    front.now += MS;
+    let primary = note(Role::Primary, front.now);
+    let actions = front.ends(old, 0, Outcome::Served, primary);
+    assert!(!actions.contains(&Action::Remark(MemberId(0), Remark::Active)));
+    // A probe from before the miss tells no more; the next one does.
+    let actions = front.tell(0, Role::Primary);
+    assert!(!actions.contains(&Action::Remark(MemberId(0), Remark::Active)));
+    let actions = front.pass(1_500 * MS);
+    assert!(actions.contains(&Action::Probe(MemberId(0))));
+    let actions = front.tell(0, Role::Primary);
+    assert!(actions.contains(&Action::Remark(MemberId(0), Remark::Active)));
+}
+
 #[test]
 fn a_read_never_tried_is_given_up_at_half_its_time() {
-    let (mut front, _) = gathering(390 * MS);
+    let (mut front, _) = gathering(390 * MS, true);
     let (read, mut actions) = front.arrive(ANY);
     let arrived = front.now;
     while !refused(&actions, read) {
