Fail statements that databases can't use at once, refuse ids in use, check rows inside

Each read among them was sent ten times, and each answer counted as its member's error (attempt.rs, `outcome`: any code but four was Outcome::Error), so that bad clients could fail members for all. Besides, 121 spoilt rows were passed on: only the tag, the outer length and the count of columns were looked at (pg.rs, `Answer::take`), and an unreadable status before the row lost the answer. Ruled out: the usual clients' own errors were 5 of XX000 and 10 misses.

Now SQLSTATE class 42 and 08P01 end in Outcome::Unusable: it failed, at once, and blames no member. A request whose id is open here gets 08P01 and is sent to nobody; had the copy reached a database first, it could have been given the answer of the other. Description, row and end of command must be whole inside; a tag that no database sends ends the wait at once; an unreadable status is ignored. A request waits no longer than its class; the longest message is 132 KiB, not 256.

Tests: outcome table, rows spoilt inside (pg.rs), one send only and the id in use (tests/gateway.rs); each fails without the change.

--- a/src/bin/asterreel/attempt.rs
+++ b/src/bin/asterreel/attempt.rs
@@ -83,6 +83,10 @@
                 return Ok(());
             }
         }
+        // Noise may claim a length whose end would be waited for in vain.
+        if stream.buffer.data().first().is_some_and(|tag| !pg::ANSWERS.contains(tag)) {
+            return Err(Broken::Malformed);
+        }
         match stream.read_now() {
             Ok(Some(0)) | Err(_) => return Err(Broken::Connection { written: true }),
             Ok(Some(_)) => continue,
@@ -172,6 +176,9 @@
         (Some(Verdict::Error(code)), _) => match code {
             b"25006" | b"72000" => Outcome::Miss,
             b"53300" => Outcome::Full,
+            // A syntax error or a breach of protocol is the statement's: sent on, it would meet the same again
+            // and count against each member it reached.
+            [b'4', b'2', ..] | b"08P01" => Outcome::Unusable,
             _ => Outcome::Error,
         },
         // A database starts a query once its last byte has come: one not written whole never runs.
@@ -204,6 +211,8 @@
             (Ok(()), error(b"72000"), false, Outcome::Miss),
             (Ok(()), error(b"XX000"), false, Outcome::Error),
             (Ok(()), error(b"53300"), false, Outcome::Full),
+            (Ok(()), error(b"42601"), false, Outcome::Unusable),
+            (Ok(()), error(b"08P01"), false, Outcome::Unusable),
             // Only the codes of the table prove anything; a shutdown notice does not.
             (broken(true), error(b"57P03"), false, Outcome::Error),
             (broken(false), None, false, Outcome::ConnectFailed),
--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -9,7 +9,7 @@
 use asterreel::settings::Setup;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpListener;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -29,22 +29,27 @@
     pub pool: Arc<Pool>,
     classes: Vec<String>,
     needs: Vec<Need>,
+    deadlines: Vec<Micros>,
     most_sessions: usize,
     draining: AtomicBool,
     sessions: Mutex<BTreeMap<u64, Arc<Mailbox>>>,
+    /// What clients call the requests that are open.
+    open: Mutex<HashSet<Vec<u8>>>,
     next_session: AtomicUsize,
 }
 
 impl Gateway {
-    pub fn new(core: Arc<Core>, pool: Arc<Pool>, setup: &Setup, needs: &[Need], most: usize) -> Gateway {
+    pub fn new(core: Arc<Core>, pool: Arc<Pool>, setup: &Setup, settings: &Settings, most: usize) -> Gateway {
         Gateway {
             core,
             pool,
             classes: setup.profiles.iter().map(|class| class.name.clone()).collect(),
-            needs: needs.to_vec(),
+            needs: settings.needs.clone(),
+            deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             most_sessions: most,
             draining: AtomicBool::new(false),
             sessions: Mutex::default(),
+            open: Mutex::default(),
             next_session: AtomicUsize::new(0),
         }
     }
@@ -53,6 +58,10 @@
         work(&mut self.sessions.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    fn open<T>(&self, work: impl FnOnce(&mut HashSet<Vec<u8>>) -> T) -> T {
+        work(&mut self.open.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// From now on connections are closed between requests.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Release);
@@ -116,6 +125,22 @@
     }
 }
 
+/// The name of an open request, which is free again once this is dropped.
+struct Name(Arc<Gateway>, Vec<u8>);
+
+impl Name {
+    fn take(gateway: &Arc<Gateway>, name: &[u8]) -> Option<Name> {
+        let free = gateway.open(|open| open.insert(name.to_vec()));
+        free.then(|| Name(gateway.clone(), name.to_vec()))
+    }
+}
+
+impl Drop for Name {
+    fn drop(&mut self) {
+        self.0.open(|open| open.remove(&self.1));
+    }
+}
+
 /// What a session waits for, beside its client.
 enum Notice {
     Order(Order),
@@ -292,7 +317,14 @@
             pg::error(out, Severity::Error, "08P01", "unknown class", None);
             return Ok(());
         };
-        let due = received.saturating_add(statement.wait_ms.saturating_mul(1000));
+        // A database that got the other's copy first could give one client the answer made for another.
+        let Some(_name) = Name::take(&self.gateway, &statement.id) else {
+            pg::error(out, Severity::Error, "08P01", "a request with this id is open", None);
+            return Ok(());
+        };
+        // No client waits longer than its class does: a deadline out of all bounds must not hold room.
+        let wait = statement.wait_ms.saturating_mul(1000).min(self.gateway.deadlines[class]);
+        let due = received.saturating_add(wait);
         let overdue = due.saturating_add(OVERDUE);
         let _alarm = core.timer.alarm(overdue, self.stream.waker());
         let statement = Arc::new(statement);
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -97,7 +97,7 @@
     let watch = move || discovery::run(&watching, &watched, revision, &watches_asked);
     net::spawn_with_stack(net::JSON_STACK_WORDS, watch)?;
 
-    let gateway = Gateway::new(core, pool, &config.setup, &config.settings.needs, clients);
+    let gateway = Gateway::new(core, pool, &config.setup, &config.settings, clients);
     let gateway = Arc::new(gateway);
     let listener =
         TcpListener::bind(config.listen).map_err(|error| format!("listen: {}: {error}", config.listen))?;
--- a/src/bin/asterreel/pg.rs
+++ b/src/bin/asterreel/pg.rs
@@ -6,7 +6,10 @@
 use std::ops::Range;
 
 /// The longest message that is taken in: a value of 64 KiB in hex, and room.
-pub const LONGEST: usize = 256 * 1024;
+pub const LONGEST: usize = 132 * 1024;
+
+/// The tags of all messages that a database may answer with.
+pub const ANSWERS: &[u8] = b"ACDEKNRSTZ";
 
 /// Bytes that are no message of this protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,6 +82,8 @@
 pub struct Statement {
     bytes: Vec<u8>,
     wait: Range<usize>,
+    /// What the client calls the request.
+    pub id: Vec<u8>,
     /// The class, by name.
     pub class: String,
     /// How long the client will wait, in milliseconds.
@@ -120,11 +125,12 @@
         }
         let quoted = bytes[..open].split(|byte| *byte == b'\'').nth(1);
         let class = class.and_then(|class| std::str::from_utf8(class).ok());
-        let (Some(class), Some((wait_ms, wait)), Some(_)) = (class, wait, id) else {
+        let (Some(class), Some((wait_ms, wait)), Some(id)) = (class, wait, id) else {
             return Err(Malformed("comment lacks id, c or d"));
         };
         Ok(Statement {
             wait,
+            id: id.to_vec(),
             class: class.to_owned(),
             wait_ms,
             cluster: cluster.unwrap_or(0),
@@ -276,9 +282,15 @@
         }
         match (tag, self.stage) {
             (b'N' | b'A' | b'K' | b'R', _) => {}
-            (b'S', _) => self.status(body)?,
+            (b'S', _) => self.status(body),
             (b'T', 0) | (b'D', 1) | (b'C', 2) if self.verdict.is_none() => {
-                if tag != b'C' && body.first_chunk::<2>() != Some(&[0, 1]) {
+                // What is passed on as it came must be whole inside as well.
+                let whole_inside = match tag {
+                    b'T' => column(body).and_then(text).is_some_and(|(_, rest)| rest.len() == 18),
+                    b'D' => column(body).and_then(value).is_some(),
+                    _ => query(body).is_ok(),
+                };
+                if !whole_inside {
                     return Err(Malformed("not a row of one column"));
                 }
                 self.rows.extend_from_slice(whole);
@@ -297,27 +309,35 @@
         Ok(())
     }
 
-    fn status(&mut self, body: &[u8]) -> Result<(), Malformed> {
-        let pair = text(body).and_then(|(name, rest)| Some((name, text(rest)?.0)));
-        match pair.ok_or(Malformed("a status without a value"))? {
-            (b"server_role", b"writer") => self.note.role = Some(Role::Primary),
-            (b"server_role", b"reader") => self.note.role = Some(Role::Replica),
-            (b"commit_clock", value) => self.note.position = decimal(value, 3),
+    /// One that can't be read tells nothing, and takes nothing from the answer it came with.
+    fn status(&mut self, body: &[u8]) {
+        match text(body).and_then(|(name, rest)| Some((name, text(rest)?.0))) {
+            Some((b"server_role", b"writer")) => self.note.role = Some(Role::Primary),
+            Some((b"server_role", b"reader")) => self.note.role = Some(Role::Replica),
+            Some((b"commit_clock", value)) => self.note.position = decimal(value, 3),
             _ => {}
         }
-        Ok(())
     }
 
     /// The value of the row, if one came.
     pub fn value(&self) -> Option<&[u8]> {
         let description = message(&self.rows).ok()??;
         let rest = &self.rows[description.body.end..];
-        let row = &rest[message(rest).ok()??.body];
-        let length = u32::from_be_bytes(*row.get(2..)?.first_chunk::<4>()?) as usize;
-        row.get(6..)?.get(..length)
+        value(column(&rest[message(rest).ok()??.body])?)
     }
 }
 
+/// What follows the count of columns, which must be one.
+fn column(body: &[u8]) -> Option<&[u8]> {
+    body.strip_prefix(&[0, 1])
+}
+
+/// The value that a column of a row holds, and nothing behind it.
+fn value(column: &[u8]) -> Option<&[u8]> {
+    let (length, value) = column.split_first_chunk::<4>()?;
+    (u32::from_be_bytes(*length) as usize == value.len()).then_some(value)
+}
+
 /// A decimal number times ten to a power, rounded down; exact where a float would not be.
 fn decimal(text: &[u8], power: usize) -> Option<u64> {
     let text = std::str::from_utf8(text).ok()?.trim();
@@ -358,7 +378,7 @@
 
     fn row() -> Vec<u8> {
         let mut out = Vec::new();
-        put(&mut out, b'T', |out| out.extend_from_slice(b"\0\x01payload\0\0\0\0\0\0\0"));
+        put(&mut out, b'T', |out| out.extend([&b"\0\x01payload\0"[..], &[0; 18]].concat()));
         put(&mut out, b'D', |out| out.extend_from_slice(b"\0\x01\0\0\0\x03\x9f\0Z"));
         command_complete(&mut out, "SELECT 1");
         let rows = out.clone();
@@ -398,6 +418,32 @@
         });
     }
 
+    /// Spoilt inside of messages that are whole: passed on, a client would take it for its value or choke on it.
+    #[test]
+    fn a_row_that_is_not_whole_inside_is_malformed_and_an_unreadable_report_spoils_no_row() {
+        let spoilt = |what: &[u8], by: &[u8]| {
+            let mut bytes = row();
+            let at = bytes.windows(what.len()).position(|window| window == what).expect("there");
+            bytes[at..at + by.len()].copy_from_slice(by);
+            let mut answer = Answer::default();
+            let read = read(&bytes, &mut answer);
+            (read.is_ok(), answer.verdict, answer.note.position)
+        };
+        let cases: [(&[u8], &[u8]); 5] = [
+            (b"\0\0\0\x03\x9f", b"\0\0\0\x02\x9f"),
+            (b"\0\0\0\x03\x9f", b"\xff\xff\xff\xff\x9f"),
+            (b"\0\x01payl", b"\0\x02pay"),
+            (b"payload\0", b"paylo\0d"),
+            (b"CT 1\0", b"CT 1\x01"),
+        ];
+        for (what, by) in cases {
+            assert!(!spoilt(what, by).0, "{what:?}");
+        }
+        assert_eq!(spoilt(b"commit_clock\x0017", b"commit_clock\x00?7"), (true, Some(Verdict::Row), None));
+        let unended = spoilt(b"5600123\0", b"5600123x");
+        assert_eq!(unended, (true, Some(Verdict::Row), None));
+    }
+
     #[test]
     fn garbage_is_an_error_or_incomplete_and_is_never_read_past() {
         let mut bad = 0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -259,6 +259,8 @@
     Moot,
     /// Turned away untouched: not the primary, or too far behind.
     Miss,
+    /// Turned away untouched: the request itself is at fault, wherever it is sent.
+    Unusable,
 }
 
 /// Whether a request still waits for its final answer.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -370,6 +370,8 @@
                     self.paces[class].learn(ended.latency, LEARN);
                 }
             }
+            // It answered, and what it turned away says nothing of it: a client may send such by the hundred.
+            Outcome::Unusable => member.quiet_since = now,
             Outcome::ConnectFailed | Outcome::Reset => self.count_error(id),
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
@@ -606,6 +608,10 @@
         let can = left && allowed && self.now < self.last_start(request);
         let quick = ended.outcome == Outcome::Error && (ended.latency as f64) < usual / 4.0;
         let price = if quick || proves_nothing_ran(ended.outcome) { 0.0 } else { 1.0 };
+        if ended.outcome == Outcome::Unusable {
+            self.out.push(Action::Fail(id));
+            return self.conclude(id);
+        }
         if !can || self.retries < price {
             return self.give_up(id);
         }
@@ -907,7 +913,7 @@
 
 fn proves_nothing_ran(outcome: Outcome) -> bool {
     use Outcome::*;
-    matches!(outcome, Full | ConnectFailed | Moot | Miss)
+    matches!(outcome, Full | ConnectFailed | Moot | Miss | Unusable)
 }
 
 fn first_guess(aim: Micros) -> Pace {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -232,6 +232,52 @@
     assert_eq!(gateway.seen.try_iter().count(), 1);
 }
 
+#[test]
+fn a_statement_that_databases_cannot_use_fails_at_once_and_is_sent_to_no_other() {
+    let gateway = start_with(1000, 1024, |_| Some(toy::message(b'E', b"SERROR\0C42601\0Msyntax\0\0")));
+    let mut client = Client::ready(&gateway);
+    client.send(&query(&read("u")));
+    let (tags, bytes) = client.answer();
+    assert_eq!((tags.as_str(), code(&bytes)), ("EZ", &b"58000"[..]));
+    assert_eq!(gateway.seen.try_iter().count(), 1);
+}
+
+#[test]
+fn a_request_with_the_id_of_an_open_one_gets_an_error_and_reaches_no_database() {
+    // The database answers only once its statement is taken note of.
+    let gateway = start_with(0, 1024, |_| None);
+    let mut clients = [Client::ready(&gateway), Client::ready(&gateway)];
+    clients[0].send(&query(&read("same")));
+    let mut seen = vec![];
+    // The second may come in first: then it is the one that is served.
+    clients[1].send(&query(&read("same")));
+    let mut errors = 0;
+    let patience = Instant::now() + Duration::from_secs(20);
+    for client in &mut clients {
+        client.0.set_read_timeout(Some(Duration::from_millis(200))).expect("set");
+    }
+    while errors == 0 && Instant::now() < patience {
+        errors = clients.iter_mut().filter_map(|client| client.0.peek(&mut [0]).ok()).count();
+    }
+    assert_eq!(errors, 1, "one of them hears before any database has answered");
+    seen.extend(gateway.seen.recv_timeout(Duration::from_secs(20)));
+    let mut tags: Vec<String> = clients
+        .iter_mut()
+        .map(|client| {
+            client.0.set_read_timeout(Some(Duration::from_secs(20))).expect("set");
+            client.answer().0
+        })
+        .collect();
+    tags.sort_unstable();
+    assert_eq!(tags, ["EZ", "TDCZ"]);
+    seen.extend(gateway.seen.try_iter());
+    assert_eq!(seen.len(), 1);
+    // Its id is free again.
+    clients[0].send(&query(&read("same")));
+    gateway.seen.recv_timeout(Duration::from_secs(20)).expect("a database got it");
+    assert_eq!(clients[0].answer().0, "TDCZ");
+}
+
 #[test]
 fn what_makes_no_sense_gets_an_error_and_lost_framing_ends_the_connection() {
     let gateway = start();
