Time out openings and half messages, let silent connections make room first, share descriptors

Now an opening, and a message from its first byte, has 2.5 s. Room is made ahead of the limit, by whoever said nothing first, then by whoever has rested longest; one that turns out to have sent something stays. 24 descriptors are held back, 45% of the rest are for databases.

Tests (tests/gateway.rs): 200 silent connections at 96 descriptors take no place from clients; an opening and a message that stop, or dribble, are turned away in time. Both fail without the change.

Ruled out: reused connections to databases.

--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -22,6 +22,12 @@
 const OVERDUE: Micros = 10_000;
 /// Wait before the next try after accepting failed or found no room.
 const ACCEPT_AGAIN: Micros = 5_000;
+/// How long a client may take over its opening, and over one message from its first byte on.
+const MESSAGE_WAIT: Micros = 2_500_000;
+/// How long a connection is silent in its opening before others may have its place, and how long between
+/// requests, for as long as there is somebody else to close.
+const SILENT: Micros = 50_000;
+const RESTED: Micros = 2_000_000;
 
 /// What all sessions share.
 pub struct Gateway {
@@ -73,20 +79,39 @@
         self.sessions(|sessions| sessions.len())
     }
 
-    /// Asks one session that is between requests to make room.
-    fn shed_one(&self) {
+    /// Asks the session that will miss it least to make room: one that opened and said nothing, else the one
+    /// that has been between requests for longest. Whoever connects and says nothing must not take the place of
+    /// clients that are served.
+    fn shed_one(&self) -> bool {
+        let now = self.core.clock.now();
         self.sessions(|sessions| {
-            let idle = |mailbox: &&Arc<Mailbox>| mailbox.idle.load(Ordering::Acquire);
-            if let Some(mailbox) = sessions.values().find(idle) {
+            let open = sessions.values().filter(|mailbox| !mailbox.close.load(Ordering::Acquire));
+            let victim = open.filter_map(|mailbox| {
+                let (stage, since) = mailbox.stage()?;
+                let rank = match (stage, now.saturating_sub(since)) {
+                    (Stage::Opening, SILENT..) => 0,
+                    (Stage::Message, RESTED..) => 0,
+                    (Stage::Idle, RESTED..) => 1,
+                    (Stage::Opening, _) => 2,
+                    (Stage::Idle, _) => 3,
+                    (Stage::Message, _) => 4,
+                };
+                Some((rank, since, mailbox))
+            });
+            let victim = victim.min_by_key(|(rank, since, _)| (*rank, *since));
+            if let Some((_, _, mailbox)) = &victim {
                 mailbox.close.store(true, Ordering::Release);
                 mailbox.waker.wakeup();
             }
-        });
+            victim.is_some()
+        })
     }
 }
 
 /// Accepts clients for as long as the process runs. Running out of descriptors only makes the next one wait.
 pub fn accept(gateway: &Arc<Gateway>, listener: &TcpListener) {
+    // Room is made ahead: a client that has to wait for another's close would be kept out by every crowd.
+    let spare = gateway.most_sessions / 16 + 1;
     loop {
         let pause = || {
             let at = gateway.core.clock.now() + ACCEPT_AGAIN;
@@ -94,8 +119,11 @@
             listener.wait_io();
             drop(alarm);
         };
-        if gateway.open_sessions() >= gateway.most_sessions {
+        let open = gateway.open_sessions();
+        if open + spare > gateway.most_sessions {
             gateway.shed_one();
+        }
+        if open >= gateway.most_sessions {
             pause();
             continue;
         }
@@ -105,7 +133,7 @@
                 let gateway = gateway.clone();
                 // Registered here, so that the limit counts sessions that have not begun yet.
                 let number = gateway.next_session.fetch_add(1, Ordering::Relaxed) as u64;
-                let mailbox = Arc::new(Mailbox::new(stream.waker()));
+                let mailbox = Arc::new(Mailbox::new(stream.waker(), gateway.core.clock.now()));
                 gateway.sessions(|sessions| sessions.insert(number, mailbox.clone()));
                 spawn(move || {
                     let mut session = Session { gateway, stream, mailbox, left: false };
@@ -151,23 +179,43 @@
     Overdue,
 }
 
+/// What a session that is not busy with a request waits for from its client.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The opening message.
+    Opening,
+    /// The first byte of a message.
+    Idle,
+    /// The rest of a message.
+    Message,
+}
+
 struct Mailbox {
     notices: Mutex<VecDeque<Notice>>,
     waker: WaitIoWaker,
-    idle: AtomicBool,
+    /// What the session waits for and since when; nothing while it is busy.
+    stage: Mutex<Option<(Stage, Micros)>>,
     close: AtomicBool,
 }
 
 impl Mailbox {
-    fn new(waker: WaitIoWaker) -> Mailbox {
+    fn new(waker: WaitIoWaker, now: Micros) -> Mailbox {
         Mailbox {
             notices: Mutex::default(),
             waker,
-            idle: AtomicBool::new(true),
+            stage: Mutex::new(Some((Stage::Opening, now))),
             close: AtomicBool::new(false),
         }
     }
 
+    fn stage(&self) -> Option<(Stage, Micros)> {
+        *self.stage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_stage(&self, stage: Option<(Stage, Micros)>) {
+        *self.stage.lock().unwrap_or_else(PoisonError::into_inner) = stage;
+    }
+
     fn post(&self, notice: Notice) {
         self.notices.lock().unwrap_or_else(PoisonError::into_inner).push_back(notice);
         self.waker.wakeup();
@@ -212,13 +260,14 @@
                     }
                 }
                 Ok(None) => {
-                    if !self.read_more()? {
+                    if !self.read_more(Some(Stage::Opening))? {
                         return Ok(());
                     }
                 }
                 Err(fault) => return self.fatal(fault),
             }
         }
+        self.mailbox.set_stage(None);
         let mut out = Vec::new();
         pg::welcome(&mut out);
         self.write(&out)?;
@@ -228,13 +277,14 @@
             let message = match pg::message(self.stream.buffer.data()) {
                 Ok(Some(message)) => message,
                 Ok(None) => {
-                    if !self.read_more()? {
+                    if !self.read_more(None)? {
                         return Ok(());
                     }
                     continue;
                 }
                 Err(fault) => return self.fatal(fault),
             };
+            self.mailbox.set_stage(None);
             let received = self.gateway.core.clock.now();
             let body = &self.stream.buffer.data()[message.body.clone()];
             let mut out = Vec::new();
@@ -273,25 +323,39 @@
         }
     }
 
-    /// Waits for more bytes between requests; false when the connection is to be closed instead.
-    fn read_more(&mut self) -> Result<bool, Ending> {
-        self.mailbox.idle.store(true, Ordering::Release);
+    /// Waits for more bytes of the opening or between requests; false when the connection is to be closed.
+    fn read_more(&mut self, opening: Option<Stage>) -> Result<bool, Ending> {
+        let core = self.gateway.core.clone();
+        let begun = !self.stream.buffer.data().is_empty();
+        let stage = opening.unwrap_or(if begun { Stage::Message } else { Stage::Idle });
+        // A client that sends a byte now and then must not start its time anew with each.
+        let before = self.mailbox.stage().filter(|(was, _)| *was == stage);
+        let (_, since) = before.unwrap_or((stage, core.clock.now()));
+        self.mailbox.set_stage(Some((stage, since)));
+        let until = if stage == Stage::Idle { Micros::MAX } else { since + MESSAGE_WAIT };
+        let _alarm = core.timer.alarm(until, self.stream.waker());
         loop {
             match self.stream.read_now() {
                 Ok(Some(0)) | Err(_) => return Err(Ending::Left),
-                Ok(Some(_)) => break,
+                Ok(Some(_)) => {
+                    // It has something to say after all: somebody else is to make room.
+                    self.mailbox.close.store(false, Ordering::Release);
+                    return Ok(true);
+                }
                 Ok(None) => {}
             }
             // Asked to close: only after a last look for a request that has come, and never inside one.
-            let close = self.mailbox.close.load(Ordering::Acquire);
-            let drains = self.gateway.draining.load(Ordering::Acquire);
-            if (close || drains) && self.stream.buffer.data().is_empty() {
+            if self.mailbox.close.load(Ordering::Acquire) {
                 return Ok(false);
             }
+            if self.gateway.draining.load(Ordering::Acquire) && !begun {
+                return Ok(false);
+            }
+            if core.clock.now() >= until {
+                self.fatal(Malformed("the message took too long"))?;
+            }
             self.stream.wait();
         }
-        self.mailbox.idle.store(false, Ordering::Release);
-        Ok(true)
     }
 
     fn write(&mut self, bytes: &[u8]) -> Result<(), Ending> {
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -38,8 +38,9 @@
 const KEEP_SERVING: Duration = Duration::from_millis(750);
 /// Time for the last answers, past the longest deadline.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
-/// Descriptors for everything that is neither a client nor a database.
-const RESERVED: usize = 64;
+/// Descriptors for everything that is neither a client nor a database: eleven were counted, and each thing that is
+/// opened before another is closed takes one more.
+const RESERVED: usize = 24;
 
 fn main() -> ExitCode {
     let level = std::env::var("RELAY_LOG").ok().and_then(|level| level.parse().ok());
@@ -74,8 +75,10 @@
     let source = Arc::new(Source::new(config.discovery, watches.clone()));
     let core = Arc::new(Core::new(&config, clock, timer.clone(), probes, watches)?);
     let allowed = &config.setup.allowed;
+    // Requests hold a third of all at most, and each holds one to a database as well: beside those there must be
+    // room for connections kept for the next request, and for clients that are between two.
     let to_share = config.sockets.saturating_sub(RESERVED);
-    let (clients, databases) = (to_share - to_share * 2 / 5, to_share * 2 / 5);
+    let (clients, databases) = (to_share - to_share * 9 / 20, to_share * 9 / 20);
     let pool = Pool::new(clock, timer.clone(), databases, allowed.conn_idle_us, allowed.connect_timeout_us);
     let pool = Arc::new(pool);
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -188,7 +188,7 @@
 
 #[test]
 fn more_clients_than_descriptors_are_served_in_turn_by_closing_idle_connections() {
-    // 96 descriptors leave room for 20 clients.
+    // 96 descriptors leave room for 40 clients.
     let gateway = start_with(1000, 96, |_| None);
     let mut clients: Vec<Client> = (0..60).map(|_| Client::ready(&gateway)).collect();
     let last = clients.last_mut().expect("60 clients");
@@ -197,6 +197,43 @@
     assert_eq!(clients[0].answer().0, "", "closed between requests");
 }
 
+#[test]
+fn connections_that_say_nothing_take_no_place_from_clients() {
+    let gateway = start_with(1000, 96, |_| None);
+    let mut client = Client::ready(&gateway);
+    let mut silent: Vec<Client> = (0..200).map(|_| Client::connect(&gateway)).collect();
+    // Neither from one that is served already, nor from one that comes behind the crowd.
+    for client in [&mut client, &mut Client::ready(&gateway)] {
+        client.send(&query(&read("s")));
+        assert_eq!(client.answer().0, "TDCZ");
+    }
+    let mut told = silent.iter_mut().map(|one| one.answer().0);
+    assert!(told.any(|tags| tags == "E"), "those left over are told that they took too long");
+}
+
+#[test]
+fn an_opening_or_a_message_that_does_not_end_is_turned_away_in_time() {
+    let gateway = start();
+    let mut client = Client::ready(&gateway);
+    let whole = query(&read("h"));
+    // One says nothing, one stops in its opening, one in a message, and one sends a byte now and then.
+    let mut bad = [(); 3].map(|()| Client::connect(&gateway));
+    bad[1].send(&startup()[..9]);
+    bad[2].send(&[startup(), whole[..30].to_vec()].concat());
+    assert_eq!(bad[2].answer().0, "RSSKZ");
+    let mut slow = Client::ready(&gateway);
+    slow.0.set_read_timeout(Some(Duration::from_millis(100))).expect("set");
+    let told = whole.iter().any(|byte| slow.0.write_all(&[*byte]).is_err() || slow.0.peek(&mut [0]).is_ok());
+    assert!(told, "before its message is whole");
+    slow.0.set_read_timeout(Some(Duration::from_secs(20))).expect("set");
+    for client in bad.iter_mut().chain([&mut slow]) {
+        let (tags, bytes) = client.answer();
+        assert_eq!((tags.as_str(), code(&bytes)), ("E", &b"08P01"[..]));
+    }
+    client.send(&whole);
+    assert_eq!(client.answer().0, "TDCZ", "one that rested meanwhile is served");
+}
+
 /// The code of the error in an answer.
 fn code(bytes: &[u8]) -> &[u8] {
     let at = bytes.windows(2).position(|field| field == b"\0C").expect("a code");
