Forget members that are gone, and answer what a drain takes before the process may be killed

Also: a request that came between 0.7 and 0.75 s after SIGTERM could wait out a deadline of 3.3 s, past the 3.7 s after which SIGKILL would lose it.

Now the router parts from a member once it is gone and owes nothing, `core` forgets whom the router doesn't know, commits are kept only where asked for, and requests taken during a drain wait until 0.1 s before the kill at the latest.

--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tracing::{debug, warn};
 
@@ -38,6 +38,8 @@
     deadlines: Vec<Micros>,
     most_sessions: usize,
     draining: AtomicBool,
+    /// When the last answer must be out, once that is known.
+    answer_until: AtomicU64,
     sessions: Mutex<BTreeMap<u64, Arc<Mailbox>>>,
     /// What clients call the requests that are open.
     open: Mutex<HashSet<Vec<u8>>>,
@@ -54,6 +56,7 @@
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             most_sessions: most,
             draining: AtomicBool::new(false),
+            answer_until: AtomicU64::new(Micros::MAX),
             sessions: Mutex::default(),
             open: Mutex::default(),
             next_session: AtomicUsize::new(0),
@@ -68,6 +71,12 @@
         work(&mut self.open.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// From now on no request is waited for any longer than this: the process may be killed soon after, and
+    /// what it had taken by then would be lost.
+    pub fn answer_until(&self, at: Micros) {
+        self.answer_until.store(at, Ordering::Release);
+    }
+
     /// From now on connections are closed between requests.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Release);
@@ -388,7 +397,7 @@
         };
         // No client waits longer than its class does: a deadline out of all bounds must not hold room.
         let wait = statement.wait_ms.saturating_mul(1000).min(self.gateway.deadlines[class]);
-        let due = received.saturating_add(wait);
+        let due = received.saturating_add(wait).min(self.gateway.answer_until.load(Ordering::Acquire));
         let overdue = due.saturating_add(OVERDUE);
         let _alarm = core.timer.alarm(overdue, self.stream.waker());
         let statement = Arc::new(statement);
--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -45,9 +45,11 @@
     router: Router,
     inboxes: HashMap<RequestId, (Arc<dyn Inbox>, Micros)>,
     requests: u64,
+    /// By name, those that the router knows.
     members: HashMap<String, MemberId>,
-    /// By [`MemberId`]: name and where it listens.
-    places: Vec<(String, Option<SocketAddr>)>,
+    /// Their names and where they listen.
+    places: HashMap<MemberId, (String, Option<SocketAddr>)>,
+    next_member: u32,
     zones: Vec<String>,
     actions: Vec<Action>,
     probes: Sender<(MemberId, SocketAddr)>,
@@ -68,7 +70,8 @@
             inboxes: HashMap::new(),
             requests: 0,
             members: HashMap::new(),
-            places: Vec::new(),
+            places: HashMap::new(),
+            next_member: 0,
             zones: config.setup.zones.clone(),
             actions: Vec::new(),
             probes,
@@ -131,6 +134,7 @@
         self.with(|state| {
             let entries = state.entries(listing)?;
             state.feed(self, Event::Listed(kind, entries.into()));
+            state.forget_members();
             Ok(())
         })
     }
@@ -151,18 +155,22 @@
             addresses.push(address);
         }
         for ((entry, item), address) in entries.iter_mut().zip(&listing.members).zip(addresses) {
-            let next = MemberId(self.places.len() as u32);
-            let member = *self.members.entry(item.store.clone()).or_insert(next);
-            if member == next {
-                self.places.push((item.store.clone(), None));
-            }
-            entry.member = member;
-            let place = &mut self.places[member.0 as usize].1;
-            *place = address.or(*place);
+            let next = MemberId(self.next_member);
+            entry.member = *self.members.entry(item.store.clone()).or_insert(next);
+            self.next_member += u32::from(entry.member == next);
+            let place = self.places.entry(entry.member).or_insert_with(|| (item.store.clone(), None));
+            place.1 = address.or(place.1);
         }
         Ok(entries)
     }
 
+    /// Servers are replaced by new ones under new names all day: what the router has done with goes.
+    fn forget_members(&mut self) {
+        let (router, places) = (&self.router, &mut self.places);
+        places.retain(|member, _| router.knows(*member));
+        self.members.retain(|_, member| places.contains_key(member));
+    }
+
     fn feed(&mut self, core: &Core, event: Event) {
         let now = core.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
@@ -176,7 +184,7 @@
     fn carry_out(&mut self, core: &Core, now: Micros, action: Action) {
         match action {
             Action::Send(request, member, timeout) => {
-                let Some(address) = self.places.get(member.0 as usize).and_then(|place| place.1) else {
+                let Some(address) = self.places.get(&member).and_then(|place| place.1) else {
                     return warn!("a send to a member without an address");
                 };
                 let Some((inbox, due)) = self.inboxes.get(&request) else { return };
@@ -187,7 +195,7 @@
             Action::Refuse(request, come_back) => self.order(request, Order::Refuse(come_back)),
             Action::Fail(request) => self.order(request, Order::Fail),
             Action::Probe(member) => {
-                if let Some(address) = self.places.get(member.0 as usize).and_then(|place| place.1) {
+                if let Some(address) = self.places.get(&member).and_then(|place| place.1) {
                     let _ = self.probes.send((member, address));
                 }
             }
@@ -195,7 +203,7 @@
                 let _ = self.watches.send(());
             }
             Action::Remark(member, remark) => {
-                let name = self.places.get(member.0 as usize).map_or("?", |place| place.0.as_str());
+                let name = self.places.get(&member).map_or("?", |place| place.0.as_str());
                 info!(member = name, "{remark:?}");
             }
             Action::WakeAfter(after) => core.timer.wake_at(now.saturating_add(after)),
@@ -212,7 +220,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use may::sync::mpsc::channel;
+    use may::sync::mpsc::{channel, Receiver};
 
     #[derive(Default)]
     struct Orders(Mutex<Vec<String>>);
@@ -223,13 +231,26 @@
         }
     }
 
-    #[test]
-    fn a_list_with_one_bad_entry_leaves_the_old_one_standing() {
+    type Asked = (Receiver<(MemberId, SocketAddr)>, Receiver<()>);
+
+    fn core_asking() -> (Core, Config, Asked) {
         let config = Config::parse(include_bytes!("../../../examples/config.json"), |_| None).expect("good");
         let clock = Clock::start();
         let (probes, asked) = channel();
         let (watches, watched) = channel();
         let core = Core::new(&config, clock, Timer::new(clock), probes, watches).expect("good");
+        (core, config, (asked, watched))
+    }
+
+    fn core() -> (Core, Config) {
+        let (core, config, _) = core_asking();
+        (core, config)
+    }
+
+    #[test]
+    fn a_list_with_one_bad_entry_leaves_the_old_one_standing() {
+        let (core, config, (asked, watched)) = core_asking();
+        let clock = core.clock;
         core.listed(ListKind::WarmCopy, &config.known).expect("good");
         assert!(watched.try_recv().is_ok());
         let probed: Vec<(MemberId, SocketAddr)> = asked.try_iter().collect();
@@ -264,4 +285,20 @@
         let orders = inbox.0.lock().expect("not poisoned");
         assert!(orders[0].starts_with("Send") && orders[0].contains(&probed[0].1.to_string()), "{orders:?}");
     }
+
+    /// Seen by reading: on a day of replacements every server that had ever been was kept, with its name.
+    #[test]
+    fn members_that_are_gone_are_forgotten_and_come_back_as_new() {
+        let (core, config) = core();
+        for round in 0..5 {
+            let mut list = config.known.clone();
+            list.members[1].store = format!("s-{round}");
+            core.listed(ListKind::Full, &list).expect("good");
+            core.with(|state| assert_eq!((state.members.len(), state.places.len()), (2, 2)));
+        }
+        let mut gone = Listing { complete: false, ..config.known.clone() };
+        gone.members.iter_mut().for_each(|member| member.state = "gone".into());
+        core.listed(ListKind::Changes, &gone).expect("good");
+        core.with(|state| assert_eq!((state.members.len(), state.places.len()), (1, 1)));
+    }
 }
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -22,7 +22,7 @@
 use crate::pool::Pool;
 use crate::timer::Timer;
 use asterreel::config::Config;
-use asterreel::interface::ListKind;
+use asterreel::interface::{ListKind, Micros};
 use may::net::TcpListener;
 use may::sync::mpsc;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -30,16 +30,20 @@
 use std::error::Error;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tracing::{info, level_filters::LevelFilter, warn};
 
 /// How long after the signal connections are still kept as if nothing had happened: the front may send new ones
 /// for 0.4 s, and what comes after 0.7 s must be answered before the process may be killed.
-const KEEP_SERVING: Duration = Duration::from_millis(750);
-/// Time for the last answers, past the longest deadline.
-const LAST_ANSWERS: Duration = Duration::from_millis(100);
-/// Descriptors for everything that is neither a client nor a database: eleven were counted, and each thing that is
-/// opened before another is closed takes one more.
+const KEEP_SERVING: Micros = 750_000;
+/// Nobody kills the process earlier than the longest deadline, this much of it at most, ...
+const DEADLINE_COUNTED: Micros = 3_000_000;
+/// ... and so much more after the signal.
+const KILL_AFTER: Micros = 700_000;
+/// Time for the last answers.
+const LAST_ANSWERS: Micros = 100_000;
+/// Descriptors for everything that is neither a client nor a database: eleven were counted, and each thing that
+/// is opened before another is closed takes one more.
 const RESERVED: usize = 24;
 
 fn main() -> ExitCode {
@@ -146,8 +150,11 @@
 /// Serves on while clients still come, then closes connections between requests, and returns when none is
 /// left or nothing can be owed any more.
 fn drain(gateway: &Gateway, signals: &mut Signals, config: &mut Config, source: &Source) {
-    info!("draining");
     let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let killed = longest.min(DEADLINE_COUNTED) + KILL_AFTER;
+    let (began, clock) = (gateway.core.clock.now(), gateway.core.clock);
+    gateway.answer_until(began + killed - LAST_ANSWERS);
+    info!("draining");
     // A drain may be under way when discovery moves: follow it, and let nothing else touch the drain.
     let mut pause = || {
         for signal in signals.pending() {
@@ -155,13 +162,12 @@
         }
         std::thread::sleep(Duration::from_millis(10));
     };
-    let began = Instant::now();
-    while began.elapsed() < KEEP_SERVING {
+    while clock.now() < began + KEEP_SERVING {
         pause();
     }
     gateway.drain();
-    let until = Instant::now() + Duration::from_micros(longest) + LAST_ANSWERS;
-    while gateway.open_sessions() > 0 && Instant::now() < until {
+    let until = clock.now() + longest + LAST_ANSWERS;
+    while gateway.open_sessions() > 0 && clock.now() < until {
         pause();
     }
     info!(left = gateway.open_sessions(), "stopped");
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -248,14 +248,26 @@
         if !member.drain_binds(&self.settings) {
             return;
         }
-        let (over, group) = (state == EntryState::Gone && member.in_flight == 0, member.group);
         self.unmark(id);
-        if let Some(group) = self.groups.get_mut(&group).filter(|_| over) {
-            group.members.retain(|other| *other != id);
+        self.part(id);
+    }
+
+    /// Forgets a member that is gone and owes nothing.
+    fn part(&mut self, id: MemberId) {
+        let Some(member) = self.members.get(&id) else { return };
+        let over = member.state == EntryState::Gone && member.in_flight == 0;
+        if over && member.drain_binds(&self.settings) {
+            let group = self.groups.entry(member.group);
+            group.and_modify(|group| group.members.retain(|other| *other != id));
             self.members.remove(&id);
         }
     }
 
+    /// Whether a member that was listed is not forgotten yet.
+    pub fn knows(&self, id: MemberId) -> bool {
+        self.members.contains_key(&id)
+    }
+
     fn renew_later(&mut self) {
         let wait = self.renew_wait / 2 + self.rng.u64(0..=self.renew_wait);
         let most = (self.settings.ask_every / 4).max(RENEW_FIRST);
@@ -584,7 +596,9 @@
         }
         let id = ended.request;
         let served = ended.outcome == Outcome::Served;
-        let session = session.filter(|_| served && need == Need::Write);
+        // Where nobody asks for them, commits are not kept: a long day has a new session a moment.
+        let asked = self.settings.needs.contains(&Need::Session);
+        let session = session.filter(|_| asked && served && need == Need::Write);
         if let (Some(session), Some(commit)) = (session, ended.note.position) {
             self.commits.remember(session, commit, SESSIONS);
         }
@@ -597,6 +611,7 @@
             self.try_again(id, &ended);
         }
         self.serve(group);
+        self.part(member);
     }
 
     /// A further attempt, within limit, time and what outcomes prove; budgeted unless the last was cheap.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -467,3 +467,15 @@
     let (light, long) = (sent(BOUNDED), sent(ANY));
     assert!(long >= 1 && long * 3 <= light, "{long} long ones, {light} light ones");
 }
+
+/// Seen by reading: a member that was gone while an attempt was out stayed for good, probes and all.
+#[test]
+fn a_member_that_goes_while_an_attempt_is_out_is_forgotten_once_that_has_ended() {
+    let mut front = Front::ready(settings(), 3);
+    let (write, actions) = front.arrive(WRITE);
+    assert_eq!(sends(&actions), [(write, 0)]);
+    front.change(0, EntryState::Gone, 0);
+    assert!(front.router.knows(MemberId(0)), "it still owes an answer");
+    front.ends(write, 0, Outcome::Served, Note::default());
+    assert!(!front.router.knows(MemberId(0)));
+}
