In a jam send the newest first, spill on an idle primary, doubt a primary after a write miss

Ruled out: shares (1.00 nearly everywhere), errors counted (0 or 1), cold members.

Now a bounded read that finds the standbys in sync full goes to the active member where that one is quick; once the oldest of a class has waited half of its wanted time the newest go first; and for half a second after a write miss only a write that went through marks that member.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,6 +70,11 @@
 /// While requests are open a timer comes at least this often; one later by the second was held up here. Ours.
 const BEAT: Micros = 100_000;
 const STALL: Micros = 150_000;
+/// What part of its wanted time the oldest of a class waits before the newest go first. Ours.
+const JAMMED: Micros = 2;
+/// How long a member that turned a write away is not taken for the primary on its word alone: one that drains
+/// hands over within a second, and a write may ask it again before. Ours.
+const DOUBT: Micros = 500_000;
 /// Sessions whose last commit is remembered; bounds memory. Ours.
 const SESSIONS: usize = 50_000;
 /// First wait before a lost watch is renewed, microseconds; doubles to a quarter of the ask interval. Ours.
@@ -317,7 +322,7 @@
             if !member.mute {
                 member.errors = 0;
             }
-            self.hear(id, report, asked);
+            self.hear(id, report, asked, false);
         } else if outcome != Outcome::Full && self.stalled_at != self.now {
             // A probe turned away for too many others says only that the process runs.
             self.count_error(id);
@@ -433,7 +438,7 @@
     /// Takes in a role and a position, as answered to what was asked then. The latest word on the role decides
     /// the mark; that of a primary which has turned a write away since is old: it says so until it has handed
     /// over, and each time held writes would spend an attempt on it. Harm: its own mark waits for a new answer.
-    fn hear(&mut self, id: MemberId, note: Note, asked: Micros) {
+    fn hear(&mut self, id: MemberId, note: Note, asked: Micros, wrote: bool) {
         let now = self.now;
         let Some(member) = self.members.get_mut(&id) else { return };
         if let Some(position) = note.position.filter(|at| *at >= member.position) {
@@ -442,7 +447,7 @@
             member.missed_until = 0;
         }
         match note.role {
-            Some(Role::Primary) if asked < member.declined_at => {}
+            Some(Role::Primary) if asked < member.doubted_until && !wrote => {}
             Some(Role::Primary) => self.mark(id),
             Some(Role::Replica) => self.unmark(id),
             None => {}
@@ -584,12 +589,14 @@
         let (member, sent) = (attempt.member, attempt.sent);
         let (class, need, group) = (request.class(), request.need, request.arrival.group);
         let session = request.arrival.session;
-        self.hear(member, ended.report, sent);
+        self.hear(member, ended.report, sent, false);
         self.judge(member, class, &ended);
-        self.hear(member, ended.note, sent);
+        // A write that went through leaves no doubt who is the primary.
+        let wrote = ended.outcome == Outcome::Served && need == Need::Write;
+        self.hear(member, ended.note, sent, wrote);
         let (now, until) = (self.now, self.now.saturating_add(PROBE_EVERY));
         if ended.outcome == Outcome::Miss && need == Need::Write {
-            self.members.entry(member).and_modify(|m| m.declined_at = now);
+            self.members.entry(member).and_modify(|m| m.doubted_until = now.saturating_add(DOUBT));
             self.unmark(member);
         } else if ended.outcome == Outcome::Miss {
             self.members.entry(member).and_modify(|member| member.missed_until = until);
@@ -663,7 +670,8 @@
         self.serve_later(id);
     }
 
-    /// Places what waits, most worth for its work first; stops at a class's first few that find no room.
+    /// Places what waits, most worth for its work first; stops at a class's first few that find no room. Oldest
+    /// first in a jam, each would go out with too little time left to be answered: there the newest go first.
     fn serve(&mut self, id: GroupId) {
         let Some(group) = self.groups.get_mut(&id) else { return };
         let mut waiting = std::mem::take(&mut group.waiting);
@@ -672,10 +680,19 @@
         order.sort_by(|a, b| self.value(*b).total_cmp(&self.value(*a)));
         for class in order {
             let (queue, mut blocked) = (&mut waiting[class], 0);
-            while let Some(&request) = queue.get(blocked).filter(|_| blocked < 3) {
+            let waits = |id: &RequestId| self.requests.get(id).filter(|r| r.waiting);
+            while queue.front().is_some_and(|id| waits(id).is_none()) {
+                queue.pop_front();
+            }
+            let aim = self.settings.classes[class].aim;
+            let oldest = queue.front().and_then(waits).map_or(self.now, |request| request.received);
+            let jammed = self.now.saturating_sub(oldest) > aim / JAMMED;
+            while blocked < 3 {
+                let at = if jammed { queue.len().checked_sub(blocked + 1) } else { Some(blocked) };
+                let Some((at, request)) = at.and_then(|at| Some((at, *queue.get(at)?))) else { break };
                 let waits = self.requests.get(&request).is_some_and(|r| r.waiting);
                 if !waits || self.place(request) {
-                    queue.remove(blocked);
+                    queue.remove(at);
                 } else {
                     blocked += 1;
                 }
@@ -842,10 +859,10 @@
         let standbys = open.filter(|m| Some(m.id) != group.active && self.healthy(m));
         let mut in_sync: Vec<&Member> = standbys.filter(|m| self.in_sync(request, m, stalled)).collect();
         // Standbys that lag leave few in sync, and those crowded: a quick active member takes the rest.
-        let crowded = !self.welcome(request, false);
-        if in_sync.is_empty() || crowded {
-            let quick = in_sync.is_empty() || group.flows[1].pressure < LOADED;
-            return active(SPILL_SHARE).filter(|_| quick && self.welcome(request, true));
+        let spilled = |may: bool| active(SPILL_SHARE).filter(|_| may && self.welcome(request, true));
+        let quick = group.flows[1].pressure < LOADED;
+        if in_sync.is_empty() || !self.welcome(request, false) {
+            return spilled(in_sync.is_empty() || quick);
         }
         let proven = in_sync.iter().any(|member| member.verified);
         in_sync.retain(|m| m.verified == proven);
@@ -853,6 +870,9 @@
             return self.gather(&in_sync);
         }
         in_sync.retain(|m| self.admits(m, 1.0));
+        if in_sync.is_empty() && request.need == Need::Bounded {
+            return spilled(quick);
+        }
         self.less_busy_of_two(&in_sync)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,8 +37,8 @@
     pub verified: bool,
     pub probe_out: bool,
     pub probed_at: Micros,
-    /// When it last turned a write away.
-    pub declined_at: Micros,
+    /// It turned a write away: what it was asked before then does not show it to be the primary.
+    pub doubted_until: Micros,
     pub trial_at: Micros,
     pub asked_at: Micros,
     /// Own attempts that are out.
