Close the connections that have rested longest before clients hold all they may

Clients hold a third of the descriptors for requests, 128 of 384; once those were full nobody could ask, while 128 connections rested here. client.rs made room only near its own limit of 198, one per accept, waiting 5 ms each.

Now, from three quarters of that third on, those that have rested longest are closed; room is made for as many as needed at once, and a close wakes whoever accepts. Three eighths of the descriptors are for databases, not 45%: at most 151 of two nodes were ever in use.

--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -37,6 +37,8 @@
     needs: Vec<Need>,
     deadlines: Vec<Micros>,
     most_sessions: usize,
+    /// What clients hold for requests at most; one that finds no connection left has nowhere to ask.
+    most_served: usize,
     draining: AtomicBool,
     /// When the last answer must be out, once that is known.
     answer_until: AtomicU64,
@@ -44,10 +46,19 @@
     /// What clients call the requests that are open.
     open: Mutex<HashSet<Vec<u8>>>,
     next_session: AtomicUsize,
+    /// Wakes whoever accepts.
+    room: Mutex<Option<WaitIoWaker>>,
 }
 
 impl Gateway {
-    pub fn new(core: Arc<Core>, pool: Arc<Pool>, setup: &Setup, settings: &Settings, most: usize) -> Gateway {
+    pub fn new(
+        core: Arc<Core>,
+        pool: Arc<Pool>,
+        setup: &Setup,
+        settings: &Settings,
+        most: usize,
+        sockets: usize,
+    ) -> Gateway {
         Gateway {
             core,
             pool,
@@ -55,11 +66,13 @@
             needs: settings.needs.clone(),
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             most_sessions: most,
+            most_served: sockets / 3,
             draining: AtomicBool::new(false),
             answer_until: AtomicU64::new(Micros::MAX),
             sessions: Mutex::default(),
             open: Mutex::default(),
             next_session: AtomicUsize::new(0),
+            room: Mutex::default(),
         }
     }
 
@@ -88,15 +101,18 @@
         self.sessions(|sessions| sessions.len())
     }
 
-    /// Asks the session that will miss it least to make room: one that opened and said nothing, else the one
-    /// that has been between requests for longest. Whoever connects and says nothing must not take the place of
-    /// clients that are served.
-    fn shed_one(&self) -> bool {
+    /// Asks sessions to make room: first those that opened and said nothing, then those that have been between
+    /// requests for longest. Whoever connects and says nothing must not take the place of clients that are
+    /// served, nor whoever asks once and stays.
+    fn shed(&self) {
         let now = self.core.clock.now();
         self.sessions(|sessions| {
-            let open = sessions.values().filter(|mailbox| !mailbox.close.load(Ordering::Acquire));
-            let victim = open.filter_map(|mailbox| {
-                let (stage, since) = mailbox.stage()?;
+            let (mut stay, mut served, mut ranked) = (0, 0, Vec::new());
+            for mailbox in sessions.values().filter(|mailbox| !mailbox.close.load(Ordering::Acquire)) {
+                let stage = mailbox.stage();
+                stay += 1;
+                served += usize::from(!matches!(stage, Some((Stage::Opening, _))));
+                let Some((stage, since)) = stage else { continue };
                 let rank = match (stage, now.saturating_sub(since)) {
                     (Stage::Opening, SILENT..) => 0,
                     (Stage::Message, RESTED..) => 0,
@@ -105,34 +121,47 @@
                     (Stage::Idle, _) => 3,
                     (Stage::Message, _) => 4,
                 };
-                Some((rank, since, mailbox))
-            });
-            let victim = victim.min_by_key(|(rank, since, _)| (*rank, *since));
-            if let Some((_, _, mailbox)) = &victim {
+                ranked.push((rank, since, stage, mailbox));
+            }
+            ranked.sort_unstable_by_key(|(rank, since, ..)| (*rank, *since));
+            for (_, _, stage, mailbox) in ranked {
+                // Room is made ahead: a client that has to wait for another's close is kept out by every crowd.
+                let all_full = stay + self.most_sessions / 16 >= self.most_sessions;
+                let served_full = served + self.most_served / 4 >= self.most_served;
+                if !all_full && !served_full {
+                    break;
+                }
+                if !all_full && stage != Stage::Idle {
+                    continue;
+                }
+                stay -= 1;
+                served -= usize::from(stage != Stage::Opening);
                 mailbox.close.store(true, Ordering::Release);
                 mailbox.waker.wakeup();
             }
-            victim.is_some()
-        })
+        });
+    }
+
+    /// A session has ended: whoever waits to be accepted gets its place at once.
+    fn ended(&self, number: u64) {
+        self.sessions(|sessions| sessions.remove(&number));
+        if let Some(waker) = self.room.lock().unwrap_or_else(PoisonError::into_inner).as_ref() {
+            waker.wakeup();
+        }
     }
 }
 
 /// Accepts clients for as long as the process runs. Running out of descriptors only makes the next one wait.
 pub fn accept(gateway: &Arc<Gateway>, listener: &TcpListener) {
-    // Room is made ahead: a client that has to wait for another's close would be kept out by every crowd.
-    let spare = gateway.most_sessions / 16 + 1;
+    *gateway.room.lock().unwrap_or_else(PoisonError::into_inner) = Some(listener.waker());
+    let pause = || {
+        let at = gateway.core.clock.now() + ACCEPT_AGAIN;
+        let _alarm = gateway.core.timer.alarm(at, listener.waker());
+        listener.wait_io();
+    };
     loop {
-        let pause = || {
-            let at = gateway.core.clock.now() + ACCEPT_AGAIN;
-            let alarm = gateway.core.timer.alarm(at, listener.waker());
-            listener.wait_io();
-            drop(alarm);
-        };
-        let open = gateway.open_sessions();
-        if open + spare > gateway.most_sessions {
-            gateway.shed_one();
-        }
-        if open >= gateway.most_sessions {
+        gateway.shed();
+        if gateway.open_sessions() >= gateway.most_sessions {
             pause();
             continue;
         }
@@ -151,7 +180,7 @@
                     }
                     let gateway = session.gateway.clone();
                     drop(session);
-                    gateway.sessions(|sessions| sessions.remove(&number));
+                    gateway.ended(number);
                 });
             }
             Err(error) => {
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -82,7 +82,7 @@
     // Requests hold a third of all at most, and each holds one to a database as well: beside those there must be
     // room for connections kept for the next request, and for clients that are between two.
     let to_share = config.sockets.saturating_sub(RESERVED);
-    let (clients, databases) = (to_share - to_share * 9 / 20, to_share * 9 / 20);
+    let (clients, databases) = (to_share - to_share * 3 / 8, to_share * 3 / 8);
     let pool = Pool::new(clock, timer.clone(), databases, allowed.conn_idle_us, allowed.connect_timeout_us);
     let pool = Arc::new(pool);
 
@@ -104,7 +104,7 @@
     let watch = move || discovery::run(&watching, &watched, revision, &watches_asked);
     net::spawn_with_stack(net::JSON_STACK_WORDS, watch)?;
 
-    let gateway = Gateway::new(core, pool, &config.setup, &config.settings, clients);
+    let gateway = Gateway::new(core, pool, &config.setup, &config.settings, clients, config.sockets);
     let gateway = Arc::new(gateway);
     let listener =
         TcpListener::bind(config.listen).map_err(|error| format!("listen: {}: {error}", config.listen))?;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -2,7 +2,7 @@
 #[path = "../examples/toy_server.rs"]
 mod toy;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
@@ -141,7 +141,12 @@
     fn answer(&mut self) -> (String, Vec<u8>) {
         let (mut tags, mut bytes) = (String::new(), Vec::new());
         let mut head = [0; 5];
-        while self.0.read_exact(&mut head).is_ok() {
+        loop {
+            if let Err(end) = self.0.read_exact(&mut head) {
+                // Silence is no end.
+                assert_ne!(end.kind(), ErrorKind::WouldBlock, "neither an answer nor a close");
+                break;
+            }
             let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
             let mut body = vec![0; length - 4];
             self.0.read_exact(&mut body).expect("a whole message");
@@ -199,6 +204,25 @@
     assert_eq!(clients[0].answer().0, "", "closed between requests");
 }
 
+#[test]
+fn clients_that_ask_once_and_stay_leave_connections_for_others() {
+    // Of 384 descriptors clients hold 128 for requests, and whoever finds none left has nowhere to ask.
+    let gateway = start_with(1000, 384, |_| None);
+    let mut stayed: Vec<Client> = vec![];
+    for n in 0..128 {
+        let mut client = Client::ready(&gateway);
+        client.send(&query(&read(&format!("once-{n}"))));
+        assert_eq!(client.answer().0, "TDCZ");
+        stayed.push(client);
+    }
+    for client in &mut stayed[..32] {
+        assert_eq!(client.answer().0, "", "those that have rested longest are closed");
+    }
+    let last = stayed.last_mut().expect("128 clients");
+    last.send(&query(&read("again")));
+    assert_eq!(last.answer().0, "TDCZ");
+}
+
 #[test]
 fn connections_that_say_nothing_take_no_place_from_clients() {
     let gateway = start_with(1000, 96, |_| None);
