--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -101,8 +101,8 @@
         self.sessions(|sessions| sessions.len())
     }
 
-    /// Asks sessions to make room: first those that opened and said nothing, then those that have been between
-    /// requests for longest. Whoever connects and says nothing must not take the place of clients that are
+    /// Asks sessions to make room: first those that opened and said nothing, then those that have been
+    /// between requests for longest. Whoever connects and says nothing must not take the place of clients that are
     /// served, nor whoever asks once and stays.
     fn shed(&self) {
         let now = self.core.clock.now();
@@ -469,11 +469,12 @@
                         out.extend_from_slice(&end.rows);
                     }
                     let latency = core.clock.now().saturating_sub(sent);
-                    debug!(request = id.0, attempt = attempt.0, outcome = ?end.outcome, role = ?end.note.role, latency);
+                    let (outcome, role) = (end.outcome, end.note.role);
+                    debug!(request = id.0, attempt = attempt.0, ?outcome, ?role, latency);
                     core.ended(Ended {
                         request: id,
                         attempt,
-                        outcome: end.outcome,
+                        outcome,
                         latency,
                         note: end.note,
                         report: Note::default(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -435,9 +435,9 @@
         reads.map(|(class, _)| self.value(class)).fold(f64::MIN_POSITIVE, f64::max)
     }
 
-    /// Takes in a role and a position, as answered to what was asked then. The latest word on the role decides
-    /// the mark; that of a primary which has turned a write away since is old: it says so until it has handed
-    /// over, and each time held writes would spend an attempt on it. Harm: its own mark waits for a new answer.
+    /// Takes in a role and a position, as answered to what was asked then. The latest word on the role
+    /// decides the mark; that of a primary which has turned a write away is old: it says so until it has
+    /// handed over, and each time held writes would spend attempts there. Harm: its own mark comes later.
     fn hear(&mut self, id: MemberId, note: Note, asked: Micros, wrote: bool) {
         let now = self.now;
         let Some(member) = self.members.get_mut(&id) else { return };
@@ -670,8 +670,8 @@
         self.serve_later(id);
     }
 
-    /// Places what waits, most worth for its work first; stops at a class's first few that find no room. Oldest
-    /// first in a jam, each would go out with too little time left to be answered: there the newest go first.
+    /// Places what waits, most worth for its work first; stops at a class's first few that find no room.
+    /// Oldest first in a jam, each would go out with too little time left: there the newest go first.
     fn serve(&mut self, id: GroupId) {
         let Some(group) = self.groups.get_mut(&id) else { return };
         let mut waiting = std::mem::take(&mut group.waiting);
@@ -876,10 +876,10 @@
         self.less_busy_of_two(&in_sync)
     }
 
-    /// Any-reads may block applying where they run. Once they do, they gather on the standbys furthest behind,
-    /// half of them at most, so that the others stay in sync. Where answers come late more would only time out;
-    /// but only what is out there can ease the pressure, so with nothing in flight a trial is due. Harm: a
-    /// report that a quiet group could have borne comes later.
+    /// Any-reads may block applying where they run. Once they do, they gather on the standbys furthest
+    /// behind, half of them at most, so that the others stay in sync. Where answers come late more would
+    /// only time out; but only what is out there can ease the pressure, so with nothing in flight a trial
+    /// is due. Harm: a report that a quiet group could have borne comes later.
     fn gather(&self, members: &[&Member]) -> Option<MemberId> {
         let cold = |m: &Member| m.warmth(&self.settings, self.now) < 1.0;
         let mut behind = members.to_vec();
