--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,11 @@
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
 	cargo fmt --all -- --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 # The example's configuration; start the toy server first (see README).
 run: build
--- /dev/null
+++ b/src/health/drain.rs
@@ -0,0 +1,147 @@
+//! The drain's timetable: how long a gateway that was told to end goes on taking requests, so that no balancer
+//! sends a client to a closed door, and until when it answers.
+
+use super::knobs::{within, Fault};
+use crate::interface::Micros;
+use serde::Deserialize;
+
+/// Nothing is sent to a gateway later than this after its drain was announced.
+const LIMIT_MS: u64 = 2_000;
+/// What the status needs to reach the checks, and a client that was sent at the last moment to arrive. Ours.
+const MARGIN_MS: u64 = 150;
+/// A gateway keeps serving for this long in any case: the platform's front sends new connections for 0.4 s, and
+/// what comes after 0.7 s must be answered before the process may be killed.
+const LEAST_MS: u64 = 750;
+/// Time for the last answers.
+const LAST_ANSWERS: Micros = 100_000;
+
+/// How the balancer in front checks; its keys are named as balancers name them.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Balancer {
+    /// Time between two checks of one gateway; 10 to 2000, default 250.
+    pub interval_ms: u64,
+    /// Failed checks in a row that take a gateway out; 1 to 10, default 2. An agent's `drain` needs one.
+    pub fall: u64,
+    /// How long a check may take; 10 to 2000, default 250.
+    pub timeout_ms: u64,
+}
+
+impl Default for Balancer {
+    fn default() -> Balancer {
+        Balancer { interval_ms: 250, fall: 2, timeout_ms: 250 }
+    }
+}
+
+/// What the operator says of the drain.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Drain {
+    /// How long requests are still taken after SIGTERM; computed where it is left out.
+    pub announce_ms: Option<u64>,
+    /// When the process may be killed, after SIGTERM; where left out, the platform's rule holds: the longest
+    /// deadline, 3 s of it at most, and 0.7 s.
+    pub kill_after_ms: Option<u64>,
+}
+
+/// What follows for a drain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timetable {
+    /// How long after SIGTERM requests are still taken.
+    pub announce: Micros,
+    /// Until when after SIGTERM everything must be answered.
+    pub answer_until: Micros,
+}
+
+/// Whether a balancer's word is had by one check (an agent's) or by failed checks in a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hearing {
+    /// The agent-check's word counts at once.
+    Agent,
+    /// A check must fail as often as `fall` says.
+    Checks,
+}
+
+impl Balancer {
+    /// The longest it takes from a change until the balancer acts on it.
+    pub fn hears_within_ms(&self, hearing: Hearing) -> u64 {
+        let checks = if hearing == Hearing::Agent { 1 } else { self.fall };
+        // The change may come just after a check; each answer takes as long as it may.
+        checks * self.interval_ms + self.timeout_ms + MARGIN_MS
+    }
+}
+
+impl Drain {
+    /// Computes the timetable, or says which keys can't be kept together.
+    pub fn timetable(
+        &self,
+        balancer: &Balancer,
+        hearing: Hearing,
+        longest_deadline: Micros,
+    ) -> Result<Timetable, Fault> {
+        within("balancer.interval_ms", balancer.interval_ms, 10, 2_000)?;
+        within("balancer.fall", balancer.fall, 1, 10)?;
+        within("balancer.timeout_ms", balancer.timeout_ms, 10, 2_000)?;
+        let heard = balancer.hears_within_ms(hearing);
+        let keys = "balancer.interval_ms, balancer.fall and balancer.timeout_ms";
+        if heard > LIMIT_MS {
+            let fault =
+                format!("with balancer.fall and balancer.timeout_ms a drain is heard after {heard} ms, and nothing may be sent {LIMIT_MS} ms after its word");
+            return Err(("balancer.interval_ms", fault));
+        }
+        let announce = self.announce_ms.unwrap_or(heard.max(LEAST_MS));
+        if announce < heard {
+            let fault =
+                format!("{announce} is less than the {heard} ms after which {keys} let a drain be heard");
+            return Err(("drain.announce_ms", fault));
+        }
+        within("drain.announce_ms", announce, LEAST_MS, LIMIT_MS)?;
+        let platform = longest_deadline.min(3_000_000) + 700_000;
+        let killed = self.kill_after_ms.map_or(platform, |ms| ms.saturating_mul(1000));
+        let answer_until = killed.saturating_sub(LAST_ANSWERS);
+        if announce * 1000 + LAST_ANSWERS > answer_until {
+            let fault = format!(
+                "{} ms leave no time to answer what drain.announce_ms, {announce}, still takes",
+                killed / 1000
+            );
+            return Err(("drain.kill_after_ms", fault));
+        }
+        Ok(Timetable { announce: announce * 1000, answer_until })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn table(announce: Option<u64>, kill: Option<u64>, balancer: &Balancer) -> Result<Timetable, Fault> {
+        let drain = Drain { announce_ms: announce, kill_after_ms: kill };
+        drain.timetable(balancer, Hearing::Checks, 10_000_000)
+    }
+
+    #[test]
+    fn the_announcement_lasts_until_every_balancer_has_heard() {
+        let quick = Balancer { interval_ms: 50, fall: 2, timeout_ms: 50 };
+        let wanted = Timetable { announce: 750_000, answer_until: 3_600_000 };
+        assert_eq!(table(None, None, &quick), Ok(wanted));
+        let slow = Balancer { interval_ms: 500, fall: 3, timeout_ms: 100 };
+        assert_eq!(table(None, None, &slow).map(|table| table.announce), Ok(1_750_000));
+        let agent = Drain::default().timetable(&slow, Hearing::Agent, 10_000_000);
+        assert_eq!(agent.map(|table| table.announce), Ok(750_000));
+    }
+
+    #[test]
+    fn what_can_not_reach_the_balancer_in_time_is_rejected_by_key() {
+        let slow = Balancer { interval_ms: 1_000, fall: 3, timeout_ms: 100 };
+        let cases = [
+            (None, None, slow, "balancer.interval_ms"),
+            (Some(800), None, Balancer::default(), "drain.announce_ms"),
+            (Some(2_001), None, Balancer::default(), "drain.announce_ms"),
+            (Some(1_500), Some(1_600), Balancer::default(), "drain.kill_after_ms"),
+            (None, None, Balancer { fall: 0, ..Balancer::default() }, "balancer.fall"),
+        ];
+        for (announce, kill, balancer, key) in cases {
+            assert_eq!(table(announce, kill, &balancer).map_err(|fault| fault.0), Err(key));
+        }
+    }
+}
--- /dev/null
+++ b/src/health/knobs.rs
@@ -0,0 +1,112 @@
+//! What an operator may set of the decisions on health, with units, defaults and bounds.
+
+use crate::interface::Micros;
+use serde::Deserialize;
+
+/// The knobs; milliseconds where a name ends in `_ms`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Knobs {
+    /// Least weight while anything can be served; 1 to 50, default 10.
+    pub floor: u8,
+    /// Share of requests refused, failed or late from which a step down is due; default 0.2.
+    pub strain_high: f64,
+    /// The share below which it is calm; less than `strain_high`, default 0.05.
+    pub strain_low: f64,
+    /// How long it must be calm before a step up; 100 to 60000, default 2000.
+    pub calm_ms: u64,
+    /// Time between two rises of a weight; 50 to 60000, default 500.
+    pub rise_every_ms: u64,
+    /// How much one rise adds; 1 to 100, default 20.
+    pub rise_step: u8,
+    /// How often in a minute a weight may turn from falling to rising; 1 to 60, default 6.
+    pub flaps_per_minute: u32,
+    /// Time between two heartbeats; 20 to 1000, default 50.
+    pub beat_every_ms: u64,
+    /// An unanswered heartbeat this old means hung; 100 to 10000, default 250.
+    pub hung_after_ms: u64,
+    /// How long beats must be good after a hang; doubles when it comes back within a minute; default 1000.
+    pub recover_after_ms: u64,
+    /// How long the start waits for discovery and a member of each group; up to 600000, default 10000.
+    pub start_wait_ms: u64,
+    /// Nothing new should be sent here: `maint` to an agent, 503 to HTTP.
+    pub maintenance: bool,
+}
+
+impl Default for Knobs {
+    fn default() -> Knobs {
+        Knobs {
+            floor: 10,
+            strain_high: 0.2,
+            strain_low: 0.05,
+            calm_ms: 2_000,
+            rise_every_ms: 500,
+            rise_step: 20,
+            flaps_per_minute: 6,
+            beat_every_ms: 50,
+            hung_after_ms: 250,
+            recover_after_ms: 1_000,
+            start_wait_ms: 10_000,
+            maintenance: false,
+        }
+    }
+}
+
+/// A key and what is wrong with its value.
+pub type Fault = (&'static str, String);
+
+/// A number outside its bounds is a fault of its key.
+pub fn within(key: &'static str, value: u64, least: u64, most: u64) -> Result<(), Fault> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err((key, format!("{value} is not within {least} to {most}")))
+}
+
+impl Knobs {
+    /// Whether the values make sense, each and together; a fault names the key.
+    pub fn check(&self) -> Result<(), Fault> {
+        within("floor", u64::from(self.floor), 1, 50)?;
+        within("rise_step", u64::from(self.rise_step), 1, 100)?;
+        within("rise_every_ms", self.rise_every_ms, 50, 60_000)?;
+        within("calm_ms", self.calm_ms, 100, 60_000)?;
+        within("flaps_per_minute", u64::from(self.flaps_per_minute), 1, 60)?;
+        within("beat_every_ms", self.beat_every_ms, 20, 1_000)?;
+        within("hung_after_ms", self.hung_after_ms, 100, 10_000)?;
+        within("recover_after_ms", self.recover_after_ms, 100, 30_000)?;
+        within("start_wait_ms", self.start_wait_ms, 0, 600_000)?;
+        if !(self.strain_high > 0.0 && self.strain_high <= 1.0) {
+            return Err(("strain_high", format!("{} is not above 0 and at most 1", self.strain_high)));
+        }
+        if !(self.strain_low >= 0.0 && self.strain_low < self.strain_high) {
+            let fault = format!("{} is not below strain_high, {}", self.strain_low, self.strain_high);
+            return Err(("strain_low", fault));
+        }
+        if self.hung_after_ms < 2 * self.beat_every_ms {
+            let fault =
+                format!("{} is less than two of beat_every_ms, {}", self.hung_after_ms, self.beat_every_ms);
+            return Err(("hung_after_ms", fault));
+        }
+        Ok(())
+    }
+
+    pub(super) fn calm(&self) -> Micros {
+        self.calm_ms * 1000
+    }
+
+    pub(super) fn rise_every(&self) -> Micros {
+        self.rise_every_ms * 1000
+    }
+
+    pub(super) fn hung_after(&self) -> Micros {
+        self.hung_after_ms * 1000
+    }
+
+    pub(super) fn recover_after(&self) -> Micros {
+        self.recover_after_ms * 1000
+    }
+
+    pub(super) fn start_wait(&self) -> Micros {
+        self.start_wait_ms * 1000
+    }
+}
--- /dev/null
+++ b/src/health/mod.rs
@@ -0,0 +1,406 @@
+//! What this gateway is worth to whoever spreads clients over gateways.
+//!
+//! Decides a [`State`] and a weight of 0 to 100, for the whole gateway and for each group, from what
+//! [`Observer`] saw of the decision module's events and actions, from the heartbeat of the request path, from the
+//! room that is left, and from the drain's timetable. One door: [`Machine::handle`]. It never routes, refuses or
+//! delays a request, and does no input or output; `docs/design/health.md` says why it decides as it does.
+
+pub mod agent;
+pub mod crowd;
+pub mod drain;
+pub mod grpc;
+pub mod http;
+pub mod knobs;
+mod load;
+mod observer;
+pub mod postgres;
+mod pulse;
+
+pub use knobs::Knobs;
+pub use load::{Ladder, Mover};
+pub use observer::{GroupReport, Observer, Report};
+pub use pulse::{Beat, Pulse};
+
+use crate::interface::{GroupId, Micros};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The highest weight.
+pub const FULL: u8 = 100;
+
+/// What the whole gateway, or one group through it, is fit for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Not yet ready for clients.
+    Starting,
+    /// Serving all it should.
+    Up,
+    /// Serving less than it should.
+    Degraded,
+    /// Still serving what comes, but nothing new should be sent.
+    Draining,
+    /// Closing what is left.
+    Stopping,
+    /// The request path does not move, whatever its port says.
+    Hung,
+}
+
+/// Why a state or weight is as it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+    /// Nothing is wrong.
+    Fine,
+    /// Discovery has not told, or a group has no member heard from yet.
+    Start,
+    /// It recovers: the weight rises slowly.
+    Recovering,
+    /// No member is marked primary.
+    NoPrimary,
+    /// Refusals and late answers, or little room left.
+    Overload,
+    /// No member can serve.
+    NoMember,
+    /// Fresh connections are not accepted; those that are open are served.
+    Accept,
+    /// The operator's file says so.
+    Maintenance,
+    /// The program was told to end.
+    Drain,
+    /// The heartbeat is not answered.
+    Hung,
+}
+
+impl Reason {
+    /// The word that protocols and logs use.
+    pub fn word(self) -> &'static str {
+        match self {
+            Reason::Fine => "fine",
+            Reason::Start => "start",
+            Reason::Recovering => "recovering",
+            Reason::NoPrimary => "no-primary",
+            Reason::Overload => "overload",
+            Reason::NoMember => "no-member",
+            Reason::Accept => "accept",
+            Reason::Maintenance => "maintenance",
+            Reason::Drain => "drain",
+            Reason::Hung => "hung",
+        }
+    }
+}
+
+/// What is told about a scope.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Fitness.
+    pub state: State,
+    /// 0 to 100.
+    pub weight: u8,
+    /// Why.
+    pub reason: Reason,
+}
+
+impl Status {
+    /// Whether new clients should be sent.
+    pub fn ready(&self) -> bool {
+        matches!(self.state, State::Up | State::Degraded) && self.weight > 0
+    }
+}
+
+/// What a status is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Scope {
+    /// The whole gateway.
+    Gateway,
+    /// One group, as served through this gateway.
+    Group(GroupId),
+}
+
+/// How much of what it may hold the gateway holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Client connections that are open, and the most there may be.
+    pub sessions: usize,
+    /// See `sessions`.
+    pub most_sessions: usize,
+    /// Requests that are open, and the most that descriptors allow.
+    pub requests: usize,
+    /// See `requests`.
+    pub most_requests: usize,
+}
+
+impl Room {
+    /// The share that is taken, of whatever is nearest its limit; idle sessions make room for others, so they
+    /// count only once not even that helps.
+    fn taken(&self) -> f64 {
+        let share = |held: usize, most: usize| if most == 0 { 0.0 } else { held as f64 / most as f64 };
+        let sessions = share(self.sessions, self.most_sessions);
+        share(self.requests, self.most_requests).max(if sessions >= 0.99 { sessions } else { 0.0 })
+    }
+
+    /// No further session can be accepted.
+    pub fn full(&self) -> bool {
+        self.most_sessions > 0 && self.sessions >= self.most_sessions
+    }
+}
+
+/// What happens to a [`Machine`].
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The core was asked, and said this.
+    Seen(Report, Room),
+    /// The core could not be asked: its lock is held.
+    Unseen,
+    /// Word of the heartbeat.
+    Beat(Beat),
+    /// The age of the oldest order that no session has taken.
+    Orders(Micros),
+    /// The program was told to end.
+    Terminate,
+    /// Connections are being closed.
+    Stopping,
+    /// The operator's file was read again.
+    Configured(Knobs),
+    /// Time passed.
+    Tick,
+}
+
+/// What a [`Machine`] wants done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Tell this from now on.
+    Announce(Scope, Status),
+    /// A scope is no longer served and not told about.
+    Withdraw(Scope),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Starting,
+    Serving,
+    Draining,
+    Stopping,
+}
+
+/// What is kept of a group.
+struct Group {
+    /// The share of its worth that needs the primary, as it was when the primary was lost.
+    lost: Option<f64>,
+    ladder: Ladder,
+    mover: Mover,
+    /// The last that was seen of it.
+    seen: GroupReport,
+}
+
+/// The state machine; see the module.
+pub struct Machine {
+    knobs: Knobs,
+    began: Micros,
+    now: Micros,
+    phase: Phase,
+    pulse: Pulse,
+    groups: BTreeMap<GroupId, Group>,
+    ladder: Ladder,
+    mover: Mover,
+    told: bool,
+    announced: BTreeMap<Scope, Status>,
+}
+
+impl Machine {
+    /// A gateway that has just started; `knobs` must have passed [`Knobs::check`].
+    pub fn new(knobs: Knobs, now: Micros) -> Machine {
+        Machine {
+            pulse: Pulse::new(now),
+            knobs,
+            began: now,
+            now,
+            phase: Phase::Starting,
+            groups: BTreeMap::new(),
+            ladder: Ladder::default(),
+            mover: Mover::new(0, now),
+            told: false,
+            announced: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in one event and appends what is to be done. Time never goes back.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        self.pulse.passes(self.now);
+        match event {
+            Event::Seen(report, room) => self.seen(report, room),
+            Event::Unseen => self.pulse.unseen(self.now),
+            Event::Beat(beat) => self.pulse.beat(self.now, beat),
+            Event::Orders(age) => self.pulse.orders(age),
+            // A second signal changes nothing, and nothing leads back.
+            Event::Terminate if self.phase < Phase::Draining => self.phase = Phase::Draining,
+            Event::Stopping => self.phase = Phase::Stopping,
+            Event::Configured(knobs) => self.knobs = knobs,
+            Event::Terminate | Event::Tick => {}
+        }
+        self.pulse.judge(self.now, &self.knobs);
+        self.leave_start();
+        self.move_weights();
+        self.tell(actions);
+    }
+
+    /// What is told of a scope now.
+    pub fn status(&self, scope: Scope) -> Option<Status> {
+        self.announced.get(&scope).copied()
+    }
+
+    /// All that is told now.
+    pub fn statuses(&self) -> impl Iterator<Item = (Scope, Status)> + '_ {
+        self.announced.iter().map(|(scope, status)| (*scope, *status))
+    }
+
+    /// Whether the request path is taken to move: what a watchdog may be told.
+    pub fn moves(&self) -> bool {
+        !self.pulse.is_hung()
+    }
+
+    /// The last that was seen of the groups.
+    pub fn seen_groups(&self) -> impl Iterator<Item = &GroupReport> {
+        self.groups.values().map(|group| &group.seen)
+    }
+
+    fn seen(&mut self, report: Report, room: Room) {
+        let (now, knobs) = (self.now, &self.knobs);
+        self.pulse.seen(room.full());
+        self.told |= report.told;
+        self.groups.retain(|id, _| report.groups.iter().any(|group| group.group == *id));
+        for seen in report.groups {
+            let group = self.groups.entry(seen.group).or_insert_with(|| Group {
+                lost: None,
+                ladder: Ladder::default(),
+                mover: Mover::new(0, now),
+                seen: seen.clone(),
+            });
+            // Frozen when it is lost: without a primary, what clients ask again would count over and over.
+            group.lost = match (seen.primary, group.lost) {
+                (true, _) => None,
+                (false, None) => Some(seen.needs_primary),
+                (false, lost) => lost,
+            };
+            group.ladder.strain(now, seen.strain(), 0.0, knobs);
+            group.seen = seen;
+        }
+        self.ladder.strain(now, None, room.taken(), knobs);
+    }
+
+    fn leave_start(&mut self) {
+        if self.phase != Phase::Starting || !self.pulse.has_answered() {
+            return;
+        }
+        let usable = !self.groups.is_empty() && self.groups.values().all(|group| group.seen.usable > 0);
+        let waited = self.now.saturating_sub(self.began) >= self.knobs.start_wait();
+        if (self.told && usable) || waited {
+            self.phase = Phase::Serving;
+            let floor = self.knobs.floor;
+            self.mover = Mover::new(floor, self.now);
+        }
+    }
+
+    /// The weight a group should have, and why.
+    fn group_target(&self, group: &Group) -> (u8, Reason) {
+        if group.seen.usable == 0 {
+            return (0, Reason::NoMember);
+        }
+        let level = group.ladder.weight(&self.knobs);
+        let served = f64::from(level) * (1.0 - group.lost.unwrap_or(0.0));
+        // Reads can be served: never 0, or the last gateways of a group would be taken out with it.
+        let weight = (served.round() as u8).clamp(self.knobs.floor, FULL);
+        match group.lost {
+            Some(_) => (weight, Reason::NoPrimary),
+            None if level < FULL => (weight, Reason::Overload),
+            None => (weight, Reason::Fine),
+        }
+    }
+
+    /// The weight of the whole gateway: its groups' by the worth they carry, less what it lacks room for.
+    fn target(&self) -> (u8, Reason) {
+        let (mut worth, mut sum, mut reason) = (0.0, 0.0, Reason::Fine);
+        for group in self.groups.values() {
+            let (weight, why) = self.group_target(group);
+            worth += group.seen.worth;
+            sum += group.seen.worth * f64::from(weight);
+            reason = reason.max(why);
+        }
+        if worth <= 0.0 || sum <= 0.0 {
+            return (0, Reason::NoMember);
+        }
+        let level = self.ladder.weight(&self.knobs);
+        let weight = sum / worth * f64::from(level) / f64::from(FULL);
+        let weight = (weight.round() as u8).clamp(self.knobs.floor, FULL);
+        let accepts = self.pulse.accepts();
+        let weight = if accepts { weight } else { self.knobs.floor };
+        let reason = match reason {
+            _ if !accepts => Reason::Accept,
+            Reason::Fine if level < FULL => Reason::Overload,
+            reason => reason,
+        };
+        (weight, reason)
+    }
+
+    fn move_weights(&mut self) {
+        let (now, hung) = (self.now, self.pulse.is_hung());
+        let targets: Vec<(GroupId, u8)> =
+            self.groups.iter().map(|(id, group)| (*id, self.group_target(group).0)).collect();
+        let whole = if hung { self.knobs.floor } else { self.target().0 };
+        for (id, target) in targets {
+            if let Some(group) = self.groups.get_mut(&id) {
+                let target = if hung { target.min(self.knobs.floor) } else { target };
+                group.mover.aim(now, target, &self.knobs);
+            }
+        }
+        if self.phase == Phase::Serving {
+            self.mover.aim(now, whole, &self.knobs);
+        }
+    }
+
+    /// What outranks any weight: the same for the gateway and all its groups.
+    fn overriding(&self) -> Option<Status> {
+        let status = |state, reason| Some(Status { state, weight: 0, reason });
+        match self.phase {
+            Phase::Stopping => status(State::Stopping, Reason::Drain),
+            Phase::Draining => status(State::Draining, Reason::Drain),
+            _ if self.pulse.is_hung() => status(State::Hung, Reason::Hung),
+            Phase::Starting => status(State::Starting, Reason::Start),
+            Phase::Serving if self.knobs.maintenance => status(State::Draining, Reason::Maintenance),
+            Phase::Serving => None,
+        }
+    }
+
+    fn tell(&mut self, actions: &mut Vec<Action>) {
+        let overriding = self.overriding();
+        let shown = |weight: u8, (target, reason): (u8, Reason)| {
+            let reason = if reason == Reason::Fine && weight < target { Reason::Recovering } else { reason };
+            let state = if weight == FULL { State::Up } else { State::Degraded };
+            overriding.unwrap_or(Status { state, weight, reason })
+        };
+        let mut now = vec![(Scope::Gateway, shown(self.mover.weight(), self.target()))];
+        now.extend(
+            self.groups.iter().map(|(id, group)| {
+                (Scope::Group(*id), shown(group.mover.weight(), self.group_target(group)))
+            }),
+        );
+        let gone = |scope: &&Scope| !now.iter().any(|(told, _)| told == *scope);
+        let gone: Vec<Scope> = self.announced.keys().filter(gone).copied().collect();
+        for scope in gone {
+            self.announced.remove(&scope);
+            actions.push(Action::Withdraw(scope));
+        }
+        for (scope, status) in now {
+            if self.announced.insert(scope, status) != Some(status) {
+                actions.push(Action::Announce(scope, status));
+            }
+        }
+    }
+}
+
+impl PartialOrd for Phase {
+    fn partial_cmp(&self, other: &Phase) -> Option<std::cmp::Ordering> {
+        (*self as u8).partial_cmp(&(*other as u8))
+    }
+}
--- /dev/null
+++ b/src/health/observer.rs
@@ -0,0 +1,328 @@
+//! What a front's requests and members tell of each group, from the decision module's own events and actions.
+//!
+//! Only looks on: it is given each event before the module and each action after it, and changes neither.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// The window over which fates are counted, in slots.
+const SLOT: Micros = 100_000;
+const SLOTS: usize = 10;
+/// Fewest ended requests in the window that tell anything of strain. Ours.
+const TELLING: u32 = 10;
+/// Half-life of the observed mix of classes. Ours: long enough that a quiet moment does not tip it.
+const MIX_HALF: f64 = 10e6;
+
+/// What is seen of one group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GroupReport {
+    /// The group.
+    pub group: GroupId,
+    /// A member is marked primary.
+    pub primary: bool,
+    /// Since when one is, or none is.
+    pub primary_since: Micros,
+    /// Members in service that were heard from and have not failed, and all in service.
+    pub usable: u32,
+    /// See `usable`.
+    pub members: u32,
+    /// Attempts that are out.
+    pub in_flight: u32,
+    /// Requests that wait for their first send.
+    pub held: u32,
+    /// Requests that ended within the last second, and those of them that were refused, failed or late.
+    pub ended: u32,
+    /// See `ended`.
+    pub strained: u32,
+    /// The share of the worth asked for lately that only the primary can serve.
+    pub needs_primary: f64,
+    /// The worth asked for lately.
+    pub worth: f64,
+}
+
+impl GroupReport {
+    /// The share of requests that fared badly, where enough ended to tell.
+    pub fn strain(&self) -> Option<f64> {
+        (self.ended >= TELLING).then(|| f64::from(self.strained) / f64::from(self.ended))
+    }
+}
+
+/// What is seen of all groups.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Discovery has told its list.
+    pub told: bool,
+    /// By group.
+    pub groups: Vec<GroupReport>,
+}
+
+#[derive(Clone, Copy)]
+struct Member {
+    group: GroupId,
+    started: Micros,
+    heard: bool,
+    failed: bool,
+}
+
+#[derive(Default)]
+struct Group {
+    primary: Option<MemberId>,
+    primary_since: Micros,
+    in_flight: u32,
+    held: u32,
+    /// By slot: its number, and the ended and strained requests of it.
+    fates: [(u64, u32, u32); SLOTS],
+    mix: f64,
+    mix_primary: f64,
+    mix_at: Micros,
+}
+
+struct Open {
+    group: GroupId,
+    class: usize,
+    arrived: Micros,
+    out: u32,
+    sent: bool,
+    /// It has its final answer; only attempts that are still out keep it here.
+    over: bool,
+}
+
+/// How a request ended, and when.
+#[derive(Clone, Copy)]
+enum Fate {
+    Served(Micros),
+    /// Refused or failed.
+    NotServed(Micros),
+    /// Its client has left; that tells nothing.
+    Left,
+}
+
+/// Looks on; see the module.
+pub struct Observer {
+    classes: Vec<(Class, Need)>,
+    probes: Permit,
+    told: bool,
+    members: BTreeMap<MemberId, Member>,
+    groups: BTreeMap<GroupId, Group>,
+    open: HashMap<RequestId, Open>,
+}
+
+impl Observer {
+    /// Looks on with the settings that the router has.
+    pub fn new(settings: &Settings) -> Observer {
+        let classes = settings.classes.iter().cloned().zip(settings.needs.iter().copied());
+        Observer {
+            classes: classes.collect(),
+            probes: settings.probes,
+            told: false,
+            members: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            open: HashMap::new(),
+        }
+    }
+
+    /// Sees an event, before the router does.
+    pub fn event(&mut self, now: Micros, event: &Event) {
+        match event {
+            Event::Arrive(arrival) => self.arrives(now, arrival),
+            Event::Ended(ended) => self.ended(now, ended),
+            Event::Departed(id) => self.over(*id, Fate::Left),
+            Event::Probed(member, outcome, _) => self.heard(*member, *outcome == Outcome::Served),
+            Event::Listed(kind, entries) => self.listed(now, *kind, entries),
+            Event::Started(_) | Event::ListLost | Event::Wake => {}
+        }
+    }
+
+    /// Sees an action of the router.
+    pub fn action(&mut self, now: Micros, action: &Action) {
+        match action {
+            Action::Send(id, ..) => {
+                if let Some(open) = self.open.get_mut(id) {
+                    open.out += 1;
+                    let first = !std::mem::replace(&mut open.sent, true);
+                    let group = self.groups.entry(open.group).or_default();
+                    group.in_flight += 1;
+                    group.held -= u32::from(first && group.held > 0);
+                }
+            }
+            Action::Refuse(id, _) | Action::Fail(id) => self.over(*id, Fate::NotServed(now)),
+            Action::Remark(id, remark) => self.remark(now, *id, *remark),
+            Action::Cancel(..) | Action::Probe(_) | Action::Watch | Action::WakeAfter(_) => {}
+        }
+    }
+
+    fn listed(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
+        self.told |= kind != ListKind::WarmCopy;
+        if kind != ListKind::Changes {
+            let named: HashSet<MemberId> = entries.iter().map(|entry| entry.member).collect();
+            self.members.retain(|id, _| named.contains(id));
+        }
+        for entry in entries {
+            if entry.state != EntryState::On {
+                self.members.remove(&entry.member);
+                continue;
+            }
+            let fresh = Member {
+                group: entry.group,
+                started: entry.started,
+                // Where probes are forbidden nothing is heard before a first request.
+                heard: !self.probes.granted(),
+                failed: false,
+            };
+            let member = self.members.entry(entry.member).or_insert(fresh);
+            if member.started < entry.started {
+                *member = fresh;
+            }
+            let group = self.groups.entry(entry.group).or_default();
+            group.primary_since = if group.primary_since == 0 { now } else { group.primary_since };
+        }
+        let members = &self.members;
+        self.groups.retain(|id, _| members.values().any(|member| member.group == *id));
+    }
+
+    fn heard(&mut self, id: MemberId, good: bool) {
+        if let Some(member) = self.members.get_mut(&id).filter(|_| good) {
+            (member.heard, member.failed) = (true, false);
+        }
+    }
+
+    fn remark(&mut self, now: Micros, id: MemberId, remark: Remark) {
+        let Some(member) = self.members.get_mut(&id) else {
+            // It left the list, and so leaves its mark, too.
+            for group in self.groups.values_mut().filter(|group| group.primary == Some(id)) {
+                (group.primary, group.primary_since) = (None, now);
+            }
+            return;
+        };
+        member.failed |= remark == Remark::Failed;
+        let group = self.groups.entry(member.group).or_default();
+        match remark {
+            Remark::Active => {
+                let had = group.primary.replace(id).is_some();
+                group.primary_since = if had { group.primary_since } else { now };
+            }
+            Remark::Unmarked if group.primary == Some(id) => {
+                (group.primary, group.primary_since) = (None, now);
+            }
+            Remark::Unmarked | Remark::Failed => {}
+        }
+    }
+
+    fn arrives(&mut self, now: Micros, arrival: &Arrival) {
+        let Some((class, need)) = self.classes.get(arrival.class.0) else { return };
+        // A group that is not listed is a client's word only: nothing may be kept under it.
+        let Some(group) = self.groups.get_mut(&arrival.group) else { return };
+        group.decay(now);
+        group.mix += class.worth;
+        group.mix_primary += if matches!(need, Need::Write | Need::Fresh) { class.worth } else { 0.0 };
+        group.held += 1;
+        let open = Open {
+            group: arrival.group,
+            class: arrival.class.0,
+            arrived: now,
+            out: 0,
+            sent: false,
+            over: false,
+        };
+        self.open.insert(arrival.request, open);
+    }
+
+    fn ended(&mut self, now: Micros, ended: &Ended) {
+        let Some(open) = self.open.get_mut(&ended.request) else { return };
+        open.out = open.out.saturating_sub(1);
+        let served = ended.outcome == Outcome::Served;
+        if let Some(group) = self.groups.get_mut(&open.group) {
+            group.in_flight = group.in_flight.saturating_sub(1);
+        }
+        if served || ended.standing == Standing::Finished {
+            self.over(ended.request, if served { Fate::Served(now) } else { Fate::Left });
+        }
+        self.settle(ended.request);
+    }
+
+    /// A request has its final answer, or nobody waits for one.
+    fn over(&mut self, id: RequestId, fate: Fate) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| !open.over) else { return };
+        open.over = true;
+        let (class, need) = &self.classes[open.class];
+        if let Some(group) = self.groups.get_mut(&open.group) {
+            group.held -= u32::from(!open.sent && group.held > 0);
+            // What waits for a primary that is not there tells nothing of load.
+            let excused = group.primary.is_none() && matches!(need, Need::Write | Need::Fresh);
+            match fate {
+                Fate::Served(now) => group.count(now, now.saturating_sub(open.arrived) > class.aim),
+                Fate::NotServed(now) if !excused => group.count(now, true),
+                Fate::NotServed(_) | Fate::Left => {}
+            }
+        }
+        self.settle(id);
+    }
+
+    fn settle(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|open| open.over && open.out == 0) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// What is seen now.
+    pub fn report(&mut self, now: Micros) -> Report {
+        let mut members: BTreeMap<GroupId, (u32, u32)> = BTreeMap::new();
+        for member in self.members.values() {
+            let (usable, all) = members.entry(member.group).or_default();
+            *usable += u32::from(member.heard && !member.failed);
+            *all += 1;
+        }
+        // Before anything was asked for, each class counts for one request.
+        let prior: f64 = self.classes.iter().map(|(class, _)| class.worth).sum();
+        let writes = self.classes.iter().filter(|(_, need)| matches!(need, Need::Write | Need::Fresh));
+        let prior_primary: f64 = writes.map(|(class, _)| class.worth).sum();
+        let groups = self.groups.iter_mut().map(|(id, group)| {
+            group.decay(now);
+            let (usable, all) = members.get(id).copied().unwrap_or_default();
+            let (ended, strained) = group.fates(now);
+            GroupReport {
+                group: *id,
+                primary: group.primary.is_some(),
+                primary_since: group.primary_since,
+                usable,
+                members: all,
+                in_flight: group.in_flight,
+                held: group.held,
+                ended,
+                strained,
+                needs_primary: (group.mix_primary + prior_primary)
+                    / (group.mix + prior).max(f64::MIN_POSITIVE),
+                worth: group.mix + prior.max(f64::MIN_POSITIVE),
+            }
+        });
+        Report { told: self.told, groups: groups.collect() }
+    }
+
+    /// Requests that are kept in mind; for tests of leaks.
+    pub fn open_requests(&self) -> usize {
+        self.open.len()
+    }
+}
+
+impl Group {
+    fn decay(&mut self, now: Micros) {
+        let share = 0.5_f64.powf(now.saturating_sub(self.mix_at) as f64 / MIX_HALF);
+        (self.mix, self.mix_primary, self.mix_at) = (self.mix * share, self.mix_primary * share, now);
+    }
+
+    fn count(&mut self, now: Micros, strained: bool) {
+        let number = now / SLOT;
+        let slot = &mut self.fates[number as usize % SLOTS];
+        if slot.0 != number {
+            *slot = (number, 0, 0);
+        }
+        slot.1 += 1;
+        slot.2 += u32::from(strained);
+    }
+
+    fn fates(&self, now: Micros) -> (u32, u32) {
+        let oldest = (now / SLOT).saturating_sub(SLOTS as u64 - 1);
+        let recent = self.fates.iter().filter(|slot| slot.0 >= oldest);
+        recent.fold((0, 0), |sum, slot| (sum.0 + slot.1, sum.1 + slot.2))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,9 @@
 #![warn(missing_docs)]
 
 pub mod config;
+pub mod health;
 pub mod interface;
+pub mod operator;
 pub mod policy;
 pub mod settings;
 mod state;
--- /dev/null
+++ b/tests/health.rs
@@ -0,0 +1,554 @@
+//! What a gateway tells of itself, replayed on the state machine with a clock of the test's own.
+mod common;
+
+use asterreel::health::{
+    Action, Beat, Event, GroupReport, Knobs, Ladder, Machine, Mover, Observer, Reason, Report, Room, Scope,
+    State, Status, FULL,
+};
+use asterreel::interface::{Event as Told, *};
+use common::{ended, entry, settings, Front, GROUP, MS, START};
+use proptest::prelude::*;
+
+const S: Micros = 1_000 * MS;
+
+/// A machine under test, its clock, and what it announced for the whole gateway.
+struct Subject {
+    machine: Machine,
+    now: Micros,
+    history: Vec<(Micros, Status)>,
+    group: GroupReport,
+    /// What a round of the heartbeat does.
+    answers: bool,
+    sees: bool,
+    enters: bool,
+    room: Room,
+}
+
+fn group_report() -> GroupReport {
+    GroupReport {
+        group: GROUP,
+        primary: true,
+        primary_since: START,
+        usable: 3,
+        members: 3,
+        in_flight: 0,
+        held: 0,
+        ended: 100,
+        strained: 0,
+        needs_primary: 0.4,
+        worth: 10.0,
+    }
+}
+
+impl Subject {
+    fn new(knobs: Knobs) -> Subject {
+        knobs.check().expect("good knobs");
+        let mut subject = Subject {
+            machine: Machine::new(knobs, START),
+            now: START,
+            history: Vec::new(),
+            group: group_report(),
+            answers: true,
+            sees: true,
+            enters: true,
+            room: Room { sessions: 5, most_sessions: 100, requests: 1, most_requests: 50 },
+        };
+        subject.event(Event::Beat(Beat::Knocked));
+        subject.event(Event::Beat(Beat::Entered));
+        subject
+    }
+
+    /// One that has started and risen to its full weight.
+    fn up() -> Subject {
+        let mut subject = Subject::new(Knobs::default());
+        subject.pass(10 * S);
+        assert_eq!(subject.told(), (State::Up, FULL, Reason::Fine));
+        subject.history.clear();
+        subject
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.machine.handle(self.now, event, &mut actions);
+        for action in actions {
+            if let Action::Announce(Scope::Gateway, status) = action {
+                self.history.push((self.now, status));
+            }
+        }
+    }
+
+    /// Time passes as the front makes it pass: ticks, a look at the core, beats.
+    fn pass(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += 25 * MS;
+            let report = Report { told: true, groups: vec![self.group.clone()] };
+            self.event(if self.sees { Event::Seen(report, self.room) } else { Event::Unseen });
+            self.event(Event::Beat(Beat::Sent));
+            if self.answers {
+                self.event(Event::Beat(Beat::Answered));
+            }
+            if self.now % S < 25 * MS {
+                self.event(Event::Beat(Beat::Knocked));
+                if self.enters {
+                    self.event(Event::Beat(Beat::Entered));
+                }
+            }
+            self.event(Event::Tick);
+        }
+    }
+
+    fn told(&self) -> (State, u8, Reason) {
+        let status = self.machine.status(Scope::Gateway).expect("always told");
+        (status.state, status.weight, status.reason)
+    }
+
+    fn told_of_group(&self) -> Status {
+        self.machine.status(Scope::Group(GROUP)).expect("listed")
+    }
+}
+
+#[test]
+fn it_starts_once_discovery_told_and_each_group_has_a_member_and_rises_slowly() {
+    let mut subject = Subject::new(Knobs::default());
+    subject.group.usable = 0;
+    subject.pass(S);
+    assert_eq!(subject.told(), (State::Starting, 0, Reason::Start));
+    subject.group.usable = 1;
+    subject.pass(25 * MS);
+    assert_eq!((subject.told().0, subject.told().1), (State::Degraded, 10));
+    subject.pass(5 * S);
+    assert_eq!(subject.told().1, FULL);
+    let weights: Vec<u8> = subject.history.iter().map(|(_, status)| status.weight).collect();
+    assert_eq!(weights, [0, 10, 30, 50, 70, 90, 100]);
+}
+
+#[test]
+fn with_discovery_down_from_the_start_it_serves_what_it_knows_after_the_stated_wait() {
+    let knobs = Knobs { start_wait_ms: 3_000, ..Knobs::default() };
+    let mut machine = Machine::new(knobs, START);
+    let mut actions = Vec::new();
+    let mut look = |machine: &mut Machine, at, usable| {
+        let group = GroupReport { usable, ..group_report() };
+        machine.handle(at, Event::Beat(Beat::Entered), &mut actions);
+        let report = Report { told: false, groups: vec![group] };
+        machine.handle(at, Event::Seen(report, Room::default()), &mut actions);
+        machine.status(Scope::Gateway).expect("told").state
+    };
+    assert_eq!(look(&mut machine, START + 2_900 * MS, 2), State::Starting);
+    assert_eq!(look(&mut machine, START + 3_000 * MS, 2), State::Degraded);
+    assert_eq!(look(&mut machine, START + 3_100 * MS, 0), State::Degraded);
+    assert_eq!(machine.status(Scope::Gateway).expect("told").weight, 0, "no member at all can serve");
+}
+
+#[test]
+fn without_a_primary_the_weight_falls_by_what_needs_one_and_rises_only_with_the_next() {
+    let mut subject = Subject::up();
+    subject.group.primary = false;
+    subject.pass(25 * MS);
+    assert_eq!(subject.told(), (State::Degraded, 60, Reason::NoPrimary));
+    assert_eq!(subject.told_of_group().weight, 60);
+    // What clients ask again meanwhile changes nothing.
+    subject.group.needs_primary = 1.0;
+    subject.pass(5 * S);
+    assert_eq!(subject.told().1, 60);
+    subject.group.primary = true;
+    subject.pass(5 * S);
+    assert_eq!(subject.told(), (State::Up, FULL, Reason::Fine));
+    // A group of writes alone still keeps the floor: its reads could be served.
+    subject.group.primary = false;
+    subject.pass(25 * MS);
+    assert_eq!(subject.told().1, Knobs::default().floor);
+}
+
+#[test]
+fn a_group_without_any_member_has_no_weight_and_the_others_keep_theirs() {
+    let mut subject = Subject::up();
+    let other = GroupReport { group: GroupId(8), ..group_report() };
+    let lost = GroupReport { usable: 0, ..group_report() };
+    let report = Report { told: true, groups: vec![lost, other] };
+    subject.now += 25 * MS;
+    subject.event(Event::Seen(report.clone(), subject.room));
+    subject.now += 25 * MS;
+    subject.event(Event::Seen(report, subject.room));
+    assert_eq!(
+        subject.told_of_group(),
+        Status { state: State::Degraded, weight: 0, reason: Reason::NoMember }
+    );
+    assert_eq!((subject.told().0, subject.told().1), (State::Degraded, 50));
+    let mut actions = Vec::new();
+    let report = Report { told: true, groups: vec![group_report()] };
+    subject.machine.handle(subject.now, Event::Seen(report, subject.room), &mut actions);
+    assert!(actions.contains(&Action::Withdraw(Scope::Group(GroupId(8)))), "{actions:?}");
+}
+
+#[test]
+fn overload_lowers_the_weight_in_steps_to_the_floor_and_never_says_down() {
+    let mut subject = Subject::up();
+    subject.group.strained = 60;
+    subject.pass(10 * S);
+    assert_eq!(subject.told(), (State::Degraded, 10, Reason::Overload));
+    let weights: Vec<u8> = subject.history.iter().map(|(_, status)| status.weight).collect();
+    assert_eq!(weights, [75, 50, 25, 10]);
+    // Between the thresholds it stays; calm, it rises.
+    subject.group.strained = 10;
+    subject.pass(5 * S);
+    assert_eq!(subject.told().1, 10);
+    subject.group.strained = 0;
+    subject.pass(15 * S);
+    assert_eq!(subject.told(), (State::Up, FULL, Reason::Fine));
+}
+
+#[test]
+fn three_gateways_overloaded_together_keep_a_weight_between_them() {
+    let mut gateways = [Subject::up(), Subject::up(), Subject::up()];
+    for _ in 0..400 {
+        for gateway in &mut gateways {
+            gateway.group.strained = 100;
+            gateway.room.requests = gateway.room.most_requests;
+            gateway.pass(25 * MS);
+        }
+        let statuses: Vec<_> = gateways.iter().map(Subject::told).collect();
+        let sum: u32 = statuses.iter().map(|(_, weight, _)| u32::from(*weight)).sum();
+        assert!(sum >= 30 && statuses.iter().all(|(state, ..)| *state <= State::Degraded), "{statuses:?}");
+    }
+}
+
+#[test]
+fn a_hang_is_told_within_half_a_second_whatever_hangs() {
+    let hangs: [fn(&mut Subject); 3] = [
+        |subject| subject.answers = false,
+        |subject| subject.sees = false,
+        |subject| {
+            let now = subject.now;
+            for age in (0..400).step_by(25) {
+                subject.now = now + age * MS;
+                subject.event(Event::Orders(age * MS));
+            }
+        },
+    ];
+    for hang in hangs {
+        let mut subject = Subject::up();
+        let began = subject.now;
+        hang(&mut subject);
+        subject.pass(400 * MS);
+        let (at, status) = subject.history[0];
+        assert_eq!(status, Status { state: State::Hung, weight: 0, reason: Reason::Hung });
+        assert!(at - began <= 350 * MS, "{}", at - began);
+        assert!(!subject.machine.moves());
+    }
+}
+
+#[test]
+fn after_a_hang_it_must_show_that_it_moves_and_for_longer_each_time() {
+    let mut subject = Subject::up();
+    let mut proofs = Vec::new();
+    for _ in 0..3 {
+        subject.answers = false;
+        subject.pass(S);
+        assert_eq!(subject.told().0, State::Hung);
+        let mended = subject.now;
+        subject.answers = true;
+        while subject.told().0 == State::Hung {
+            subject.pass(25 * MS);
+        }
+        assert!(subject.told().1 <= 30, "it rises from the floor: {:?}", subject.told());
+        proofs.push((subject.now - mended) / S);
+    }
+    assert_eq!(proofs, [1, 2, 4]);
+}
+
+#[test]
+fn a_process_that_was_stopped_as_a_whole_does_not_wake_up_hung() {
+    let mut subject = Subject::up();
+    subject.event(Event::Beat(Beat::Sent));
+    subject.now += 20 * S;
+    subject.event(Event::Tick);
+    assert_eq!(subject.told().0, State::Up);
+    subject.pass(S);
+    assert_eq!(subject.told().0, State::Up);
+    assert!(subject.history.is_empty());
+}
+
+#[test]
+fn connections_that_are_not_accepted_lower_the_weight_while_open_ones_are_served() {
+    let mut subject = Subject::up();
+    subject.enters = false;
+    subject.pass(2 * S);
+    assert_eq!(subject.told(), (State::Degraded, 10, Reason::Accept));
+    // Its own session lost as well, for lack of room: load, not a hang.
+    subject.room.sessions = subject.room.most_sessions;
+    subject.event(Event::Beat(Beat::Lost));
+    subject.answers = true;
+    for _ in 0..80 {
+        subject.now += 25 * MS;
+        let report = Report { told: true, groups: vec![subject.group.clone()] };
+        subject.event(Event::Seen(report, subject.room));
+        subject.event(Event::Beat(Beat::Knocked));
+    }
+    assert_eq!(subject.told().0, State::Degraded);
+    // With room to spare and nothing open, a path that lets nobody in is hung.
+    subject.room.sessions = 1;
+    let report = Report { told: true, groups: vec![subject.group.clone()] };
+    subject.event(Event::Seen(report, subject.room));
+    assert_eq!(subject.told().0, State::Hung);
+}
+
+#[test]
+fn a_drain_is_told_at_once_also_without_a_primary_and_nothing_leads_back() {
+    let mut subject = Subject::up();
+    subject.group.primary = false;
+    subject.pass(S);
+    subject.event(Event::Terminate);
+    assert_eq!(subject.told(), (State::Draining, 0, Reason::Drain));
+    assert_eq!(subject.told_of_group().state, State::Draining);
+    subject.group.primary = true;
+    subject.event(Event::Configured(Knobs::default()));
+    subject.pass(S);
+    assert_eq!(subject.told().0, State::Draining);
+    subject.event(Event::Stopping);
+    subject.event(Event::Terminate);
+    subject.pass(S);
+    assert_eq!(subject.told(), (State::Stopping, 0, Reason::Drain));
+}
+
+#[test]
+fn maintenance_takes_it_out_and_the_file_read_again_brings_it_back() {
+    let mut subject = Subject::up();
+    subject.event(Event::Configured(Knobs { maintenance: true, ..Knobs::default() }));
+    assert_eq!(subject.told(), (State::Draining, 0, Reason::Maintenance));
+    subject.event(Event::Configured(Knobs::default()));
+    assert_eq!(subject.told().0, State::Up);
+}
+
+#[test]
+fn a_primary_lost_and_found_over_and_over_turns_the_weight_no_oftener_than_allowed() {
+    let knobs = Knobs { flaps_per_minute: 3, ..Knobs::default() };
+    let mut subject = Subject::new(knobs);
+    subject.pass(10 * S);
+    subject.history.clear();
+    for _ in 0..60 {
+        subject.group.primary = !subject.group.primary;
+        subject.pass(S);
+    }
+    assert_eq!(turns(&subject.history, 60 * S), 3);
+    assert!(subject.told().1 >= 10);
+}
+
+/// The most turns from falling to rising within any such span.
+fn turns(history: &[(Micros, Status)], span: Micros) -> usize {
+    let (mut fell, mut last, mut times) = (false, FULL, Vec::new());
+    for (at, status) in history {
+        if status.weight > last && fell {
+            times.push(*at);
+        }
+        fell = if status.weight == last { fell } else { status.weight < last };
+        last = status.weight;
+    }
+    let within = |from: &Micros| times.iter().filter(|at| **at >= *from && **at < from + span).count();
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn the_observer_sees_the_primary_the_mix_and_what_fared_badly_and_forgets_what_ended() {
+    let settings = settings();
+    let mut observer = Observer::new(&settings);
+    let mut front = Front::new(settings.clone(), 0).0;
+    // As the core does: the observer is given each event, then the router's actions.
+    let feed = |observer: &mut Observer, front: &mut Front, event: Told| {
+        observer.event(front.now, &event);
+        let actions = front.event(event);
+        actions.iter().for_each(|action| observer.action(front.now, action));
+        actions
+    };
+    let list = (0..3).map(|m| entry(m, EntryState::On, 0)).collect();
+    feed(&mut observer, &mut front, Told::Listed(ListKind::Full, list));
+    assert_eq!(observer.report(front.now).groups[0].usable, 0, "nobody was heard from");
+    for m in 0..3 {
+        let role = if m == 0 { Role::Primary } else { Role::Replica };
+        let note = Note { role: Some(role), position: Some(front.now) };
+        feed(&mut observer, &mut front, Told::Probed(MemberId(m), Outcome::Served, note));
+    }
+    let report = observer.report(front.now);
+    assert!(report.told && report.groups[0].primary);
+    assert_eq!((report.groups[0].usable, report.groups[0].members), (3, 3));
+
+    let arrive = |front: &mut Front, class: usize| {
+        front.next += 1;
+        Told::Arrive(Arrival {
+            request: RequestId(front.next),
+            class: ClassId(class),
+            tenant: TenantId(0),
+            session: None,
+            due: front.now + 2 * S,
+            estimate: None,
+            group: GROUP,
+            since_write: None,
+        })
+    };
+    // Twenty writes, one after the other: half of them late.
+    for round in 0..20 {
+        let event = arrive(&mut front, common::WRITE);
+        let actions = feed(&mut observer, &mut front, event);
+        assert_eq!(common::sends(&actions).len(), 1);
+        assert_eq!(observer.report(front.now).groups[0].in_flight, 1);
+        let took = if round % 2 == 0 { 10 * MS } else { 60 * MS };
+        front.now += took;
+        let request = RequestId(front.next);
+        let served = ended(request, 0, Outcome::Served, took, common::note(Role::Primary, front.now));
+        feed(&mut observer, &mut front, Told::Ended(served));
+    }
+    let group = &observer.report(front.now).groups[0];
+    assert!(group.strained == 0 && group.ended >= 10, "{group:?}");
+    assert!(group.needs_primary > 0.8, "{group:?}");
+    // The primary answers as a replica: it is unmarked, writes are held and then refused, which is no load.
+    feed(
+        &mut observer,
+        &mut front,
+        Told::Probed(MemberId(0), Outcome::Served, common::note(Role::Replica, 0)),
+    );
+    assert!(!observer.report(front.now).groups[0].primary);
+    // Some of them seek the primary; every member turns them away.
+    let mut asked: Vec<RequestId> = Vec::new();
+    for _ in 0..10 {
+        let event = arrive(&mut front, common::WRITE);
+        let actions = feed(&mut observer, &mut front, event);
+        asked.extend(common::sends(&actions).iter().map(|(request, _)| *request));
+    }
+    let group = observer.report(front.now).groups[0].clone();
+    assert_eq!(group.held + group.in_flight, 10, "one of them may seek the primary");
+    let end = front.now + 3 * S;
+    while front.now < end {
+        front.now += 20 * MS;
+        let mut actions = feed(&mut observer, &mut front, Told::Wake);
+        let mut answered = 0;
+        while answered < asked.len() {
+            let request = asked[answered];
+            let number = asked[..answered].iter().filter(|other| **other == request).count() as u32;
+            let miss = ended(request, number, Outcome::Miss, MS, common::note(Role::Replica, front.now));
+            actions.extend(feed(&mut observer, &mut front, Told::Ended(miss)));
+            asked.extend(common::sends(&actions).iter().map(|(request, _)| *request));
+            actions.clear();
+            answered += 1;
+        }
+        asked.extend(common::sends(&actions).iter().map(|(request, _)| *request));
+    }
+    let group = observer.report(front.now).groups[0].clone();
+    assert_eq!((group.held, group.in_flight, observer.open_requests()), (0, 0, 0));
+    assert_eq!(group.strain(), None, "refused for want of a primary: {group:?}");
+    // A client that names a group that does not exist leaves nothing behind.
+    let mut stranger = arrive(&mut front, common::WRITE);
+    if let Told::Arrive(arrival) = &mut stranger {
+        arrival.group = GroupId(99);
+    }
+    feed(&mut observer, &mut front, stranger);
+    assert_eq!((observer.open_requests(), observer.report(front.now).groups.len()), (0, 1));
+    feed(&mut observer, &mut front, Told::Listed(ListKind::Full, [].into()));
+    assert_eq!(observer.report(front.now).groups, []);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Primary(bool),
+    Strain(u32),
+    Usable(u32),
+    Answers(bool),
+    Sees(bool),
+    Enters(bool),
+    Full(bool),
+    Leap(u64),
+    Terminate,
+    Stopping,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => any::<bool>().prop_map(Step::Primary),
+        4 => (0u32..=100).prop_map(Step::Strain),
+        1 => (0u32..=3).prop_map(Step::Usable),
+        2 => any::<bool>().prop_map(Step::Answers),
+        1 => any::<bool>().prop_map(Step::Sees),
+        1 => any::<bool>().prop_map(Step::Enters),
+        1 => any::<bool>().prop_map(Step::Full),
+        1 => (0u64..30_000).prop_map(Step::Leap),
+        1 => Just(Step::Terminate),
+        1 => Just(Step::Stopping),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn weights_keep_their_bounds_and_a_drain_never_turns_back(
+        steps in proptest::collection::vec((step(), 1u64..40), 1..60),
+        floor in 1u8..=50,
+        flaps in 1u32..6,
+    ) {
+        let knobs = Knobs { floor, flaps_per_minute: flaps, start_wait_ms: 1_000, ..Knobs::default() };
+        let mut subject = Subject::new(knobs);
+        let (mut drained, mut stopped) = (false, false);
+        for (step, ticks) in steps {
+            match step {
+                Step::Primary(there) => subject.group.primary = there,
+                Step::Strain(strained) => subject.group.strained = strained,
+                Step::Usable(usable) => subject.group.usable = usable,
+                Step::Answers(answers) => subject.answers = answers,
+                Step::Sees(sees) => subject.sees = sees,
+                Step::Enters(enters) => subject.enters = enters,
+                Step::Full(full) => subject.room.requests = if full { 50 } else { 0 },
+                Step::Leap(ms) => subject.now += ms * MS,
+                Step::Terminate => { subject.event(Event::Terminate); drained = true; }
+                Step::Stopping => { subject.event(Event::Stopping); stopped = true; }
+            }
+            subject.pass(ticks * 25 * MS);
+            let (state, weight, _) = subject.told();
+            prop_assert!(weight <= FULL);
+            prop_assert_eq!(stopped, state == State::Stopping);
+            prop_assert_eq!(drained && !stopped, state == State::Draining);
+            // The floor, for as long as anything could be served and the path moved.
+            if matches!(state, State::Up | State::Degraded) && subject.group.usable > 0 && subject.sees {
+                prop_assert!(weight >= floor, "{:?} {} under {}", state, weight, floor);
+            }
+        }
+        let served: Vec<_> = subject.history.iter().copied()
+            .filter(|(_, status)| matches!(status.state, State::Up | State::Degraded)).collect();
+        prop_assert!(turns(&served, 60 * S) <= flaps as usize + 1, "{:?}", served);
+    }
+
+    #[test]
+    fn a_weight_falls_at_once_rises_by_steps_and_turns_within_its_bound(
+        targets in proptest::collection::vec((0u8..=120, 10u64..3_000), 1..200),
+        flaps in 1u32..10,
+    ) {
+        let knobs = Knobs { flaps_per_minute: flaps, ..Knobs::default() };
+        let (mut mover, mut now, mut history) = (Mover::new(100, 0), 0, Vec::new());
+        for (target, wait) in targets {
+            now += wait * MS;
+            let before = mover.weight();
+            mover.aim(now, target, &knobs);
+            let after = mover.weight();
+            let step = knobs.rise_step.max(knobs.floor);
+            prop_assert!(after <= FULL && after <= before.saturating_add(step));
+            prop_assert!(target.min(FULL) >= before || after == target);
+            if after != before {
+                history.push((now, Status { state: State::Up, weight: after, reason: Reason::Fine }));
+            }
+        }
+        prop_assert!(turns(&history, 60 * S) <= flaps as usize);
+    }
+
+    #[test]
+    fn strain_alone_never_takes_the_ladder_under_the_floor(
+        strains in proptest::collection::vec((proptest::option::of(0.0..=1.0f64), 0.0..=1.5f64, 1u64..900), 1..100),
+        floor in 1u8..=50,
+    ) {
+        let knobs = Knobs { floor, ..Knobs::default() };
+        let (mut ladder, mut now) = (Ladder::default(), 0);
+        for (share, taken, wait) in strains {
+            now += wait * MS;
+            ladder.strain(now, share, taken, &knobs);
+            prop_assert!(ladder.weight(&knobs) >= floor);
+        }
+    }
+}
