--- /dev/null
+++ b/examples/operator.star
@@ -0,0 +1,15 @@
+# An operator's file: all that is not here is off. `asterreel check --operator examples/operator.star` checks it.
+
+health(
+    # HAProxy: agent-check agent-addr 127.0.0.1 agent-port 6460 agent-inter 250ms
+    agent = agent(listen = "127.0.0.1:6460", maxconn = True),
+    # Probes of orchestrators, Envoy's HTTP health check, `asterreel health`
+    http = listener(listen = "127.0.0.1:6461"),
+    # pg_isready -h 127.0.0.1 -p 6462, HAProxy's pgsql-check
+    postgres = listener(listen = "127.0.0.1:6462"),
+    # Who may ask. This machine only is the default.
+    allow = ["127.0.0.0/8", "::1/128"],
+    # How balancers check: from this follows how long a drain is announced.
+    balancer = balancer(interval_ms = 250, fall = 2, timeout_ms = 250),
+    knobs = knobs(floor = 10, start_wait_ms = 3000),
+)
--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -1,10 +1,11 @@
 //! Clients: accepting them, their sessions, and the life of each request.
 
 use crate::attempt::{self, End, Stop};
-use crate::core::{Core, Inbox, Order};
+use crate::core::{Core, Inbox, Order, Orders};
 use crate::net::{spawn, Stream};
 use crate::pg::{self, Malformed, Opening, Severity, Statement};
 use crate::pool::Pool;
+use asterreel::health::Room;
 use asterreel::interface::*;
 use asterreel::settings::Setup;
 use may::io::{WaitIo, WaitIoWaker};
@@ -101,6 +102,16 @@
         self.sessions(|sessions| sessions.len())
     }
 
+    /// How much of what clients may hold is held; nothing where a lock is held, as this never waits.
+    pub fn room(&self) -> Option<Room> {
+        Some(Room {
+            sessions: self.sessions.try_lock().ok()?.len(),
+            most_sessions: self.most_sessions,
+            requests: self.open.try_lock().ok()?.len(),
+            most_requests: self.most_served,
+        })
+    }
+
     /// Asks sessions to make room: first those that opened and said nothing, then those that have been
     /// between requests for longest. Whoever connects and says nothing must not take the place of clients that are
     /// served, nor whoever asks once and stays.
@@ -171,7 +182,8 @@
                 let gateway = gateway.clone();
                 // Registered here, so that the limit counts sessions that have not begun yet.
                 let number = gateway.next_session.fetch_add(1, Ordering::Relaxed) as u64;
-                let mailbox = Arc::new(Mailbox::new(stream.waker(), gateway.core.clock.now()));
+                let orders = gateway.core.orders.clone();
+                let mailbox = Arc::new(Mailbox::new(stream.waker(), gateway.core.clock.now(), orders));
                 gateway.sessions(|sessions| sessions.insert(number, mailbox.clone()));
                 spawn(move || {
                     let mut session = Session { gateway, stream, mailbox, left: false };
@@ -234,15 +246,23 @@
     /// What the session waits for and since when; nothing while it is busy.
     stage: Mutex<Option<(Stage, Micros)>>,
     close: AtomicBool,
+    orders: Arc<Orders>,
+}
+
+impl Drop for Mailbox {
+    fn drop(&mut self) {
+        self.clear();
+    }
 }
 
 impl Mailbox {
-    fn new(waker: WaitIoWaker, now: Micros) -> Mailbox {
+    fn new(waker: WaitIoWaker, now: Micros, orders: Arc<Orders>) -> Mailbox {
         Mailbox {
             notices: Mutex::default(),
             waker,
             stage: Mutex::new(Some((Stage::Opening, now))),
             close: AtomicBool::new(false),
+            orders,
         }
     }
 
@@ -260,12 +280,22 @@
     }
 
     fn take(&self) -> Option<Notice> {
-        self.notices.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
+        let notice = self.notices.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
+        if let Some(Notice::Order(_)) = notice {
+            self.orders.taken.fetch_add(1, Ordering::AcqRel);
+        }
+        notice
+    }
+
+    /// Drops what is left of a request that is over: the next one's orders must not begin with its last.
+    fn clear(&self) {
+        while self.take().is_some() {}
     }
 }
 
 impl Inbox for Mailbox {
     fn order(&self, order: Order) {
+        self.orders.given.fetch_add(1, Ordering::AcqRel);
         self.post(Notice::Order(order));
     }
 }
@@ -332,7 +362,11 @@
                     let parsed = pg::query(body).map(|text| (plain(text), Statement::parse(text)));
                     self.stream.buffer.consume(message.body.end);
                     match parsed {
-                        Ok((Some(Plain::Empty), _)) => pg::empty_query_response(&mut out),
+                        Ok((Some(Plain::Empty), _)) => {
+                            // The heartbeat's question: its answer is to show that requests would get through.
+                            self.gateway.core.pass_through();
+                            pg::empty_query_response(&mut out);
+                        }
                         Ok((Some(Plain::Session(tag)), _)) => pg::command_complete(&mut out, tag),
                         Ok((None, Ok(statement))) => self.request(statement, received, &mut out)?,
                         Ok((None, Err(Malformed(fault)))) => {
@@ -492,6 +526,7 @@
             }
         }
         core.forget(id);
+        self.mailbox.clear();
         let took = core.clock.now().saturating_sub(received);
         debug!(request = id.0, class, group = statement.cluster, took, wait = statement.wait_ms, "done");
         if self.left {
--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -5,12 +5,14 @@
 use crate::clock::Clock;
 use crate::timer::Timer;
 use asterreel::config::{Config, Listing};
+use asterreel::health::{Observer, Report};
 use asterreel::interface::*;
 use asterreel::policy::Router;
 use may::sync::mpsc::Sender;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, TryLockError};
 use tracing::{info, warn};
 
 /// What the module wants done for one request.
@@ -35,14 +37,33 @@
     fn order(&self, order: Order);
 }
 
+/// Orders that inboxes were given, and those that sessions have taken or will never take. Read without a lock, by
+/// who tells whether requests move.
+#[derive(Default)]
+pub struct Orders {
+    pub given: AtomicU64,
+    pub taken: AtomicU64,
+}
+
+impl Orders {
+    /// How many were given and taken; never fewer given.
+    pub fn counts(&self) -> (u64, u64) {
+        let taken = self.taken.load(Ordering::Acquire);
+        (self.given.load(Ordering::Acquire), taken)
+    }
+}
+
 pub struct Core {
     pub clock: Clock,
     pub timer: Arc<Timer>,
+    pub orders: Arc<Orders>,
     state: Mutex<State>,
 }
 
 struct State {
     router: Router,
+    /// Looks on, where somebody wants to know.
+    observer: Option<Observer>,
     inboxes: HashMap<RequestId, (Arc<dyn Inbox>, Micros)>,
     requests: u64,
     /// By name, those that the router knows.
@@ -67,6 +88,7 @@
         let router = Router::new(config.settings.clone(), config.seed, clock.now())?;
         let state = State {
             router,
+            observer: None,
             inboxes: HashMap::new(),
             requests: 0,
             members: HashMap::new(),
@@ -77,13 +99,39 @@
             probes,
             watches,
         };
-        Ok(Core { clock, timer, state: Mutex::new(state) })
+        Ok(Core { clock, timer, orders: Arc::default(), state: Mutex::new(state) })
+    }
+
+    #[cfg(test)]
+    pub fn hold(&self, work: impl FnOnce()) {
+        self.with(|_| work());
     }
 
     fn with<T>(&self, work: impl FnOnce(&mut State) -> T) -> T {
         work(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// From now on an observer looks on; before the first list, or it misses that.
+    pub fn observe(&self, settings: &Settings) {
+        self.with(|state| state.observer = Some(Observer::new(settings)));
+    }
+
+    /// What the observer sees, or nothing where the lock is held: never waits.
+    pub fn look(&self) -> Option<Report> {
+        let mut state = match self.state.try_lock() {
+            Ok(state) => state,
+            Err(TryLockError::Poisoned(poisoned)) => poisoned.into_inner(),
+            Err(TryLockError::WouldBlock) => return None,
+        };
+        let now = self.clock.now();
+        Some(state.observer.as_mut().map_or_else(Report::default, |observer| observer.report(now)))
+    }
+
+    /// Takes the lock and gives it back: whoever gets through here shows that requests could.
+    pub fn pass_through(&self) {
+        self.with(|_| ());
+    }
+
     fn feed(&self, event: Event) {
         self.with(|state| state.feed(self, event));
     }
@@ -174,8 +222,14 @@
     fn feed(&mut self, core: &Core, event: Event) {
         let now = core.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
+        if let Some(observer) = &mut self.observer {
+            observer.event(now, &event);
+        }
         self.router.handle(now, event, &mut actions);
         for action in actions.drain(..) {
+            if let Some(observer) = &mut self.observer {
+                observer.action(now, &action);
+            }
             self.carry_out(core, now, action);
         }
         self.actions = actions;
--- a/src/bin/asterreel/discovery.rs
+++ b/src/bin/asterreel/discovery.rs
@@ -274,6 +274,8 @@
         };
         let lines = [line(100), line(100_000), nested(100_000)];
         let parse = move || lines.map(|line| serde_json::from_str::<Listing>(&line).is_err());
+        // The first to start a coroutine sets the workers for all tests, some of which rely on there being one.
+        may::config().set_workers(1).set_worker_pin(false);
         let parsed = may::go!(may::coroutine::Builder::new().stack_size(crate::net::JSON_STACK_WORDS), parse);
         assert_eq!(parsed.expect("started").join().expect("no panic"), [true; 3]);
     }
--- /dev/null
+++ b/src/bin/asterreel/health/fronts.rs
@@ -0,0 +1,205 @@
+//! The fronts of agent-check, HTTP and PostgreSQL's check: each serves one connection from its codec.
+
+use super::{grpc, Shared};
+use asterreel::health::{agent, crowd, http, postgres, Scope};
+use std::future::Future;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// How long a check may take, from its first byte on where it has one.
+const CHECK: Duration = Duration::from_secs(1);
+/// How long a connection may rest between two checks; it makes room for others sooner.
+const REST: Duration = Duration::from_secs(30);
+/// Wait after accepting failed.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+
+/// What a listener speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Front {
+    Agent,
+    Http,
+    Postgres,
+    Grpc,
+}
+
+impl Front {
+    /// By the key of its address.
+    pub fn of(key: &str) -> Front {
+        match key {
+            "agent.listen" => Front::Agent,
+            "http.listen" => Front::Http,
+            "postgres.listen" => Front::Postgres,
+            _ => Front::Grpc,
+        }
+    }
+}
+
+/// Accepts for as long as the process runs.
+pub async fn accept(shared: Rc<Shared>, listener: TcpListener, front: Front) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => admit(&shared, stream, from.ip(), front),
+            Err(error) if matches!(error.raw_os_error(), Some(EMFILE | ENFILE)) => {
+                // Others have taken what was set aside. One descriptor kept for this lets one check through.
+                if shared.spares.borrow_mut().pop().is_none() {
+                    sleep(ACCEPT_AGAIN).await;
+                }
+            }
+            Err(_) => sleep(ACCEPT_AGAIN).await,
+        }
+    }
+}
+
+fn admit(shared: &Rc<Shared>, stream: TcpStream, from: std::net::IpAddr, front: Front) {
+    let verdict = shared.crowd.borrow_mut().comes(shared.clock.now(), from);
+    let (number, replaced) = match verdict {
+        crowd::Verdict::Take(number) => (number, None),
+        crowd::Verdict::Replace(number, old) => (number, Some(old)),
+        crowd::Verdict::TurnAway => return,
+    };
+    if let Some(guest) = replaced.and_then(|old| shared.guests.borrow_mut().remove(&old)) {
+        guest.abort();
+    }
+    let guest = Guest { shared: shared.clone(), number };
+    let task = tokio::task::spawn_local(async move {
+        let _ = stream.set_nodelay(true);
+        // A peer that closes or sends nonsense ends its own check and nothing else.
+        let _ = match front {
+            Front::Agent => within(CHECK, agent(&guest, stream)).await,
+            Front::Http => http(&guest, stream).await,
+            Front::Postgres => within(CHECK, postgres(&guest, stream)).await,
+            Front::Grpc => grpc::serve(&guest, stream).await,
+        };
+    });
+    // It may not have run yet, so it has not taken itself off the list.
+    shared.guests.borrow_mut().insert(number, task.abort_handle());
+}
+
+/// A connection's place in the crowd, which is free again once this is dropped.
+pub struct Guest {
+    pub shared: Rc<Shared>,
+    number: u64,
+}
+
+impl Guest {
+    /// It asks something: it has not rested.
+    pub fn asks(&self) {
+        self.shared.crowd.borrow_mut().asks(self.shared.clock.now(), self.number);
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        self.shared.crowd.borrow_mut().leaves(self.number);
+        self.shared.guests.borrow_mut().remove(&self.number);
+        let mut spares = self.shared.spares.borrow_mut();
+        if spares.len() < super::SPARES {
+            spares.extend(std::fs::File::open("/dev/null"));
+        }
+    }
+}
+
+async fn within(span: Duration, work: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    timeout(span, work).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+async fn agent(guest: &Guest, mut stream: TcpStream) -> io::Result<()> {
+    let (wait, maxconn) = {
+        let settings = guest.shared.settings.borrow();
+        let agent = settings.agent.as_ref();
+        (agent.map_or(0, |agent| agent.wait_ms), agent.is_some_and(|agent| agent.maxconn))
+    };
+    let mut bytes = Vec::with_capacity(agent::LONGEST);
+    // Most balancers send nothing and wait for the line.
+    let first = timeout(Duration::from_millis(wait), stream.read_buf(&mut bytes)).await;
+    let mut selector = agent::Selector::Gateway;
+    if let Ok(count) = first {
+        if count? > 0 {
+            selector = agent::selector(&bytes);
+        }
+        while selector == agent::Selector::More {
+            if stream.read_buf(&mut bytes).await? == 0 {
+                return Ok(());
+            }
+            selector = agent::selector(&bytes);
+        }
+    }
+    let scope = match selector {
+        agent::Selector::Group(group) => Scope::Group(group),
+        agent::Selector::Gateway => Scope::Gateway,
+        agent::Selector::Bad | agent::Selector::More => {
+            return stream.write_all(b"#unknown selector\n").await
+        }
+    };
+    let room = guest.shared.room.get();
+    let maxconn = maxconn.then_some(room.most_sessions).filter(|most| *most > 0);
+    let line = agent::line(guest.shared.status(scope), maxconn);
+    stream.write_all(line.as_bytes()).await?;
+    stream.shutdown().await
+}
+
+async fn http(guest: &Guest, mut stream: TcpStream) -> io::Result<()> {
+    let mut bytes = Vec::with_capacity(512);
+    loop {
+        if bytes.is_empty() && timeout(REST, stream.read_buf(&mut bytes)).await.unwrap_or(Ok(0))? == 0 {
+            return Ok(());
+        }
+        guest.asks();
+        let whole = async {
+            loop {
+                match http::request(&bytes) {
+                    Ok(None) if stream.read_buf(&mut bytes).await? == 0 => return Ok(Ok(None)),
+                    Ok(None) => {}
+                    Ok(Some(request)) => return Ok(Ok(Some(request))),
+                    Err(refused) => return Ok::<_, io::Error>(Err(refused)),
+                }
+            }
+        };
+        let parsed = match timeout(CHECK, whole).await.unwrap_or(Ok(Err(http::Refused(408))))? {
+            Ok(None) => return Ok(()),
+            Ok(Some(request)) => Ok(request),
+            Err(refused) => Err(refused),
+        };
+        let used = parsed.as_ref().map_or(bytes.len(), |request| request.length);
+        let (out, ends) = http::answer(&parsed, &guest.shared.facts());
+        within(CHECK, async { stream.write_all(&out).await }).await?;
+        if ends {
+            return stream.shutdown().await;
+        }
+        bytes.drain(..used);
+    }
+}
+
+async fn postgres(guest: &Guest, mut stream: TcpStream) -> io::Result<()> {
+    let (mut check, mut bytes) = (postgres::Check::default(), Vec::with_capacity(256));
+    loop {
+        let mut out = Vec::new();
+        let (used, next) = check.take(&bytes, &mut out);
+        bytes.drain(..used);
+        let ends = match next {
+            postgres::Next::More => false,
+            postgres::Next::Close => true,
+            postgres::Next::Greet(group) => {
+                let scope = group.map_or(Scope::Gateway, Scope::Group);
+                postgres::greet(guest.shared.status(scope), &mut out)
+            }
+        };
+        stream.write_all(&out).await?;
+        if ends {
+            return stream.shutdown().await;
+        }
+        // What is used up may leave a whole message.
+        if used > 0 && !bytes.is_empty() {
+            continue;
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/asterreel/health/mod.rs
@@ -0,0 +1,265 @@
+//! Tells balancers what this gateway is worth.
+//!
+//! All of it runs on one plain thread with an event loop of its own, beside `may`'s worker: what answers health must
+//! not stand still when the worker does, and must not wait for any lock that the request path holds. It never writes
+//! a log line itself, as a full pipe would stop it; another thread does.
+
+mod beat;
+mod fronts;
+mod grpc;
+mod notify;
+#[cfg(test)]
+mod tests;
+
+use crate::client::Gateway;
+use crate::clock::Clock;
+use asterreel::health::crowd::Crowd;
+use asterreel::health::{http::Facts, Action, Event, Machine, OrderAge, Room, Scope, State, Status};
+use asterreel::operator::Health;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fs::File;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch, Notify};
+use tokio::task::{AbortHandle, LocalSet};
+use tracing::info;
+
+/// Time between two looks: the most that a change waits before it is told.
+const TICK: Duration = Duration::from_millis(25);
+/// Changes that may wait to be logged; more are dropped, as the next tells the same.
+const LOG_AHEAD: usize = 256;
+/// Descriptors kept to be given up when accepting finds none.
+const SPARES: usize = 2;
+
+/// Word from the program.
+enum Word {
+    Terminate,
+    Stopping,
+    Again(Box<Health>),
+}
+
+/// Speaks to the health thread.
+pub struct Handle {
+    words: mpsc::UnboundedSender<Word>,
+    /// What was set when it started.
+    settings: Health,
+}
+
+impl Handle {
+    /// SIGTERM came: told to balancers from now on.
+    pub fn terminate(&self) {
+        let _ = self.words.send(Word::Terminate);
+    }
+
+    /// Connections are being closed.
+    pub fn stopping(&self) {
+        let _ = self.words.send(Word::Stopping);
+    }
+
+    /// Puts what was read again into force; the keys that have to wait for the next start.
+    pub fn again(&mut self, settings: Health) -> Vec<&'static str> {
+        let before = &self.settings;
+        let later = [
+            ("health: listeners", before.listeners() != settings.listeners()),
+            ("health.connections", before.connections != settings.connections),
+            ("health.notify", before.notify != settings.notify),
+            ("health.balancer and health.drain", {
+                (&before.balancer, &before.drain) != (&settings.balancer, &settings.drain)
+            }),
+        ];
+        let _ = self.words.send(Word::Again(Box::new(settings)));
+        later.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
+    }
+}
+
+/// What all parts of the thread share; nothing of it leaves the thread.
+struct Shared {
+    name: String,
+    clock: Clock,
+    gateway: Arc<Gateway>,
+    settings: RefCell<Health>,
+    machine: RefCell<Machine>,
+    started: Cell<bool>,
+    room: Cell<Room>,
+    crowd: RefCell<Crowd>,
+    guests: RefCell<HashMap<u64, AbortHandle>>,
+    spares: RefCell<Vec<File>>,
+    /// The heartbeat rests: the program ends, and its sessions must not hold that up.
+    ending: Cell<bool>,
+    knock: Notify,
+    /// Counts changes, for those that watch.
+    changes: watch::Sender<u64>,
+    log: SyncSender<(Scope, Option<Status>)>,
+    notify: Option<SyncSender<notify::Word>>,
+}
+
+impl Shared {
+    fn event(&self, event: Event) {
+        let mut actions = Vec::new();
+        self.machine.borrow_mut().handle(self.clock.now(), event, &mut actions);
+        for action in &actions {
+            let (scope, status) = match *action {
+                Action::Announce(scope, status) => (scope, Some(status)),
+                Action::Withdraw(scope) => (scope, None),
+            };
+            if let (Scope::Gateway, Some(status)) = (scope, status) {
+                self.started.set(self.started.get() || status.state != State::Starting);
+                if let Some(notify) = &self.notify {
+                    let _ = notify.try_send(notify::Word::Changed(status));
+                }
+            }
+            let _ = self.log.try_send((scope, status));
+        }
+        if !actions.is_empty() {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    fn status(&self, scope: Scope) -> Option<Status> {
+        self.machine.borrow().status(scope)
+    }
+
+    fn facts(&self) -> Facts {
+        let machine = self.machine.borrow();
+        let settings = self.settings.borrow();
+        Facts {
+            name: self.name.clone(),
+            version: env!("CARGO_PKG_VERSION"),
+            statuses: machine.statuses().collect(),
+            room: self.room.get(),
+            retry_after: settings.balancer.interval_ms.div_ceil(1000).max(1),
+            started: self.started.get(),
+            groups: machine
+                .seen_groups()
+                .map(|seen| (seen.group, [seen.in_flight, seen.held, seen.usable, seen.members]))
+                .collect(),
+        }
+    }
+}
+
+/// Binds the fronts and starts the thread; an error names the key.
+pub fn start(name: &str, settings: &Health, gateway: Arc<Gateway>, client: SocketAddr) -> io::Result<Handle> {
+    let mut listeners = Vec::new();
+    for (key, address) in settings.listeners() {
+        let bound = TcpListener::bind(address).and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            Ok(listener)
+        });
+        let bound = bound.map_err(|error| io::Error::other(format!("health.{key}: {address}: {error}")))?;
+        listeners.push((key, bound));
+    }
+    let (log, logged) = sync_channel::<(Scope, Option<Status>)>(LOG_AHEAD);
+    std::thread::Builder::new().name("health-log".into()).spawn(move || {
+        for (scope, status) in logged {
+            write_log(scope, status);
+        }
+    })?;
+    let notify = if settings.notify { notify::start()? } else { None };
+    let (words, told) = mpsc::unbounded_channel();
+    let (clock, own) = (gateway.core.clock, settings.clone());
+    let name = name.to_owned();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+    std::thread::Builder::new().name("health".into()).spawn(move || {
+        let shared = Rc::new(Shared {
+            name,
+            clock,
+            machine: RefCell::new(Machine::new(own.knobs.clone(), clock.now())),
+            crowd: RefCell::new(Crowd::new(own.allow.clone(), own.connections)),
+            settings: RefCell::new(own),
+            gateway,
+            started: Cell::default(),
+            room: Cell::default(),
+            guests: RefCell::default(),
+            spares: RefCell::default(),
+            ending: Cell::default(),
+            knock: Notify::new(),
+            changes: watch::Sender::new(0),
+            log,
+            notify,
+        });
+        let set = LocalSet::new();
+        set.block_on(&runtime, run(shared, listeners, told, client));
+    })?;
+    Ok(Handle { words, settings: settings.clone() })
+}
+
+fn write_log(scope: Scope, status: Option<Status>) {
+    let scope = match scope {
+        Scope::Gateway => "gateway".to_owned(),
+        Scope::Group(group) => format!("group {}", group.0),
+    };
+    match status {
+        Some(Status { state, weight, reason }) => {
+            info!(scope, ?state, weight, reason = reason.word(), "health");
+        }
+        None => info!(scope, "health: no longer served"),
+    }
+}
+
+async fn run(
+    shared: Rc<Shared>,
+    listeners: Vec<(&'static str, TcpListener)>,
+    mut words: mpsc::UnboundedReceiver<Word>,
+    client: SocketAddr,
+) {
+    shared.spares.borrow_mut().extend((0..SPARES).filter_map(|_| File::open("/dev/null").ok()));
+    for (key, listener) in listeners {
+        // Registering fails only where the process has no descriptors at all, which the start has shown otherwise.
+        let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { continue };
+        let front = fronts::Front::of(key);
+        tokio::task::spawn_local(fronts::accept(shared.clone(), listener, front));
+    }
+    // A place to connect to, where all addresses are listened on.
+    let client = match client {
+        SocketAddr::V4(any) if any.ip().is_unspecified() => (Ipv4Addr::LOCALHOST, any.port()).into(),
+        SocketAddr::V6(any) if any.ip().is_unspecified() => (Ipv4Addr::LOCALHOST, any.port()).into(),
+        address => address,
+    };
+    beat::start(&shared, client);
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (mut age, mut look) = (OrderAge::default(), true);
+    loop {
+        tokio::select! {
+            biased;
+            word = words.recv() => match word {
+                Some(Word::Terminate) => {
+                    shared.ending.set(true);
+                    shared.knock.notify_waiters();
+                    shared.event(Event::Terminate);
+                }
+                Some(Word::Stopping) => shared.event(Event::Stopping),
+                Some(Word::Again(settings)) => {
+                    shared.crowd.borrow_mut().allow(settings.allow.clone());
+                    shared.event(Event::Configured(settings.knobs.clone()));
+                    let mut own = shared.settings.borrow_mut();
+                    (own.knobs, own.allow) = (settings.knobs, settings.allow);
+                }
+                // The program is gone, but for its exit.
+                None => return,
+            },
+            _ = ticks.tick() => {
+                let (given, taken) = shared.gateway.core.orders.counts();
+                shared.event(Event::Orders(age.look(shared.clock.now(), given, taken)));
+                // Every other tick: a look takes the core's lock, if only for some microseconds.
+                look = !look;
+                if look {
+                    let room = shared.gateway.room().unwrap_or(shared.room.get());
+                    shared.room.set(room);
+                    let seen = shared.gateway.core.look();
+                    shared.event(seen.map_or(Event::Unseen, |report| Event::Seen(report, room)));
+                }
+                if let Some(notify) = &shared.notify {
+                    if shared.machine.borrow().moves() {
+                        let _ = notify.try_send(notify::Word::Moves);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -3,18 +3,21 @@
 #![warn(missing_docs)]
 
 mod attempt;
+mod cli;
 mod client;
 mod clock;
 mod core;
 mod discovery;
 #[cfg(test)]
 mod fuzz;
+mod health;
 mod net;
 mod pg;
 mod pool;
 mod probe;
 mod timer;
 
+use crate::cli::{Cli, Command, Files, LogFormat};
 use crate::client::Gateway;
 use crate::clock::Clock;
 use crate::core::Core;
@@ -22,7 +25,9 @@
 use crate::pool::Pool;
 use crate::timer::Timer;
 use asterreel::config::Config;
+use asterreel::health::drain::Timetable;
 use asterreel::interface::{ListKind, Micros};
+use clap::Parser;
 use may::net::TcpListener;
 use may::sync::mpsc;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -47,12 +52,23 @@
 const RESERVED: usize = 24;
 
 fn main() -> ExitCode {
+    let cli = Cli::parse();
     let level = std::env::var("RELAY_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.unwrap_or(LevelFilter::INFO);
     // A log that can't be written is reported on standard error, and that panics when it is closed.
     let log = tracing_subscriber::fmt().log_internal_errors(false).with_max_level(level);
-    log.with_writer(std::io::stderr).with_ansi(false).init();
-    match run() {
+    let log = log.with_writer(std::io::stderr).with_ansi(false);
+    match cli.log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().flatten_event(true).init(),
+    }
+    let done = match cli.command.unwrap_or(Command::Run(Files::default())) {
+        Command::Run(files) => run(&files),
+        Command::Check(files) => cli::check(&files),
+        Command::Probe(probe) => return cli::probe(&probe),
+        Command::Health(health) => return cli::health(&health),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("asterreel: {error}");
@@ -61,10 +77,12 @@
     }
 }
 
-fn run() -> Result<(), Box<dyn Error>> {
+fn run(files: &Files) -> Result<(), Box<dyn Error>> {
     // Before anything else, so that a signal that comes early ends nothing.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let config = Config::from_env()?;
+    let evaluated = files.evaluate()?;
+    let table = evaluated.beside(&config)?;
     // One core, so one worker; pinned, all gateways of a machine would share the first core.
     may::config()
         .set_workers(1)
@@ -76,12 +94,17 @@
     let timer = Timer::new(clock);
     let (probes, probes_asked) = mpsc::channel();
     let (watches, watches_asked) = mpsc::channel();
+    let asked = evaluated.operator.health;
     let source = Arc::new(Source::new(config.discovery, watches.clone()));
     let core = Arc::new(Core::new(&config, clock, timer.clone(), probes, watches)?);
+    if asked.is_some() {
+        core.observe(&config.settings);
+    }
     let allowed = &config.setup.allowed;
     // Requests hold a third of all at most, and each holds one to a database as well: beside those there must be
     // room for connections kept for the next request, and for clients that are between two.
-    let to_share = config.sockets.saturating_sub(RESERVED);
+    let aside = RESERVED + asked.as_ref().map_or(0, |health| health.descriptors());
+    let to_share = config.sockets.saturating_sub(aside);
     let (clients, databases) = (to_share - to_share * 3 / 8, to_share * 3 / 8);
     let pool = Pool::new(clock, timer.clone(), databases, allowed.conn_idle_us, allowed.connect_timeout_us);
     let pool = Arc::new(pool);
@@ -110,23 +133,62 @@
         TcpListener::bind(config.listen).map_err(|error| format!("listen: {}: {error}", config.listen))?;
     let accepting = gateway.clone();
     net::spawn(move || client::accept(&accepting, &listener));
+    let health = match &asked {
+        Some(asked) => Some(health::start(&config.name, asked, gateway.clone(), config.listen)?),
+        None => None,
+    };
     info!(name = config.name, listen = %config.listen, "serving");
 
-    let mut current = config;
-    while signals.wait().fold(true, |serve, signal| serve & serves_on(signal, &mut current, &source)) {}
-    drain(&gateway, &mut signals, &mut current, &source);
+    let mut running = Running { config, files, source: &source, health, table };
+    while signals.wait().fold(true, |serve, signal| serve & running.serves_on(signal)) {}
+    drain(&gateway, &mut signals, &mut running);
     Ok(())
 }
 
-/// Takes in a signal; false when it asks to end.
-fn serves_on(signal: i32, config: &mut Config, source: &Source) -> bool {
-    if signal == SIGHUP {
-        match config.again_from_env() {
-            Ok(again) => take_over(config, again, source),
-            Err(error) => warn!("{error}; the configuration in force stays"),
+/// What signals act on.
+struct Running<'a> {
+    config: Config,
+    files: &'a Files,
+    source: &'a Source,
+    health: Option<health::Handle>,
+    /// The drain's timetable, where balancers are told of it.
+    table: Option<Timetable>,
+}
+
+impl Running<'_> {
+    /// Takes in a signal; false when it asks to end.
+    fn serves_on(&mut self, signal: i32) -> bool {
+        if signal == SIGHUP {
+            match self.config.again_from_env() {
+                Ok(again) => take_over(&mut self.config, again, self.source),
+                Err(error) => warn!("{error}; the configuration in force stays"),
+            }
+            self.operator_again();
+        }
+        signal == SIGHUP
+    }
+
+    /// Reads the operator's file again; one that is bad, or doesn't fit, leaves the old one standing.
+    fn operator_again(&mut self) {
+        let Some(path) = &self.files.operator else { return };
+        let evaluated = match self.files.evaluate() {
+            Ok(evaluated) => evaluated,
+            Err(error) => return warn!("{error}; the operator's file in force stays"),
+        };
+        if let Err(error) = evaluated.beside(&self.config) {
+            return warn!("{error}; the operator's file in force stays");
+        }
+        info!(file = %path.display(), "operator's file read again");
+        match (&mut self.health, evaluated.operator.health) {
+            (Some(handle), Some(health)) => {
+                for key in handle.again(health) {
+                    warn!("{key}: the change takes effect at the next start");
+                }
+            }
+            (None, None) => {}
+            _ => warn!("health: switched on or off at the next start"),
         }
     }
-    signal == SIGHUP
 }
 
 /// Puts a configuration that was read again into force, as far as a running gateway can.
@@ -149,26 +211,35 @@
 
 /// Serves on while clients still come, then closes connections between requests, and returns when none is
 /// left or nothing can be owed any more.
-fn drain(gateway: &Gateway, signals: &mut Signals, config: &mut Config, source: &Source) {
-    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+fn drain(gateway: &Gateway, signals: &mut Signals, running: &mut Running) {
+    if let Some(health) = &running.health {
+        health.terminate();
+    }
+    let longest = running.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let killed = longest.min(DEADLINE_COUNTED) + KILL_AFTER;
+    // Without balancers to tell, what the platform's front needs.
+    let plain = Timetable { announce: KEEP_SERVING, answer_until: killed - LAST_ANSWERS };
+    let table = running.table.unwrap_or(plain);
     let (began, clock) = (gateway.core.clock.now(), gateway.core.clock);
-    gateway.answer_until(began + killed - LAST_ANSWERS);
+    gateway.answer_until(began + table.answer_until);
     info!("draining");
     // A drain may be under way when discovery moves: follow it, and let nothing else touch the drain.
-    let mut pause = || {
+    let mut pause = |running: &mut Running| {
         for signal in signals.pending() {
-            serves_on(signal, config, source);
+            running.serves_on(signal);
         }
         std::thread::sleep(Duration::from_millis(10));
     };
-    while clock.now() < began + KEEP_SERVING {
-        pause();
+    while clock.now() < began + table.announce {
+        pause(running);
+    }
+    if let Some(health) = &running.health {
+        health.stopping();
     }
     gateway.drain();
     let until = clock.now() + longest + LAST_ANSWERS;
     while gateway.open_sessions() > 0 && clock.now() < until {
-        pause();
+        pause(running);
     }
     info!(left = gateway.open_sessions(), "stopped");
 }
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -19,7 +19,7 @@
 pub use knobs::Knobs;
 pub use load::{Ladder, Mover};
 pub use observer::{GroupReport, Observer, Report};
-pub use pulse::{Beat, Pulse};
+pub use pulse::{Beat, OrderAge, Pulse};
 
 use crate::interface::{GroupId, Micros};
 use serde::{Deserialize, Serialize};
@@ -274,7 +274,7 @@
             let group = self.groups.entry(seen.group).or_insert_with(|| Group {
                 lost: None,
                 ladder: Ladder::default(),
-                mover: Mover::new(0, now),
+                mover: Mover::new(0, 0),
                 seen: seen.clone(),
             });
             // Frozen when it is lost: without a primary, what clients ask again would count over and over.
@@ -297,8 +297,12 @@
         let waited = self.now.saturating_sub(self.began) >= self.knobs.start_wait();
         if (self.told && usable) || waited {
             self.phase = Phase::Serving;
-            let floor = self.knobs.floor;
-            self.mover = Mover::new(floor, self.now);
+            // A new gateway is not worth all at once.
+            self.mover = Mover::new(self.knobs.floor, self.now);
+            for group in self.groups.values_mut() {
+                let floor = if group.seen.usable > 0 { self.knobs.floor } else { 0 };
+                group.mover = Mover::new(floor, self.now);
+            }
         }
     }
 
--- a/src/health/pulse.rs
+++ b/src/health/pulse.rs
@@ -151,3 +151,43 @@
         }
     }
 }
+
+/// How old the oldest order is that no session has taken, from counts alone: orders are taken about in the order in
+/// which they were given, so it is at least as old as the first look that saw more given than are taken now.
+#[derive(Default)]
+pub struct OrderAge {
+    looks: std::collections::VecDeque<(Micros, u64)>,
+}
+
+impl OrderAge {
+    /// A look at the counts; the age of the oldest.
+    pub fn look(&mut self, now: Micros, given: u64, taken: u64) -> Micros {
+        while self.looks.front().is_some_and(|(_, given)| *given <= taken) {
+            self.looks.pop_front();
+        }
+        // Looks that saw the same count tell nothing new: kept, they would pile up while nothing moves.
+        if given > taken && self.looks.back().is_none_or(|(_, last)| *last < given) && self.looks.len() < 256
+        {
+            self.looks.push_back((now, given));
+        }
+        self.looks.front().map_or(0, |(at, _)| now.saturating_sub(*at))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn orders_age_while_none_are_taken_and_not_while_they_are() {
+        let mut age = OrderAge::default();
+        assert_eq!([age.look(0, 0, 0), age.look(10, 5, 5), age.look(20, 9, 5)], [0, 0, 0]);
+        assert_eq!([age.look(30, 12, 5), age.look(90, 12, 8)], [10, 70]);
+        // All that the first look saw is taken; what the second saw is not.
+        assert_eq!([age.look(100, 12, 9), age.look(110, 12, 12)], [70, 0]);
+        for now in 0..10_000 {
+            age.look(now, 20 + now, 12);
+        }
+        assert!(age.looks.len() <= 256);
+    }
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,1 +1,414 @@
-//! x
+//! The operator's file: a Starlark script that is evaluated once into plain checked types, then dropped.
+//!
+//! It calls `health(...)` and the functions that make its parts; everything it leaves out is off. Evaluation has no
+//! effect but its result: no files beside those that it loads from its own folder, no clock, no network, and bounds on
+//! steps, heap, call depth and time. Every error names the file, line, column and key. Files are read here, through
+//! the path that the caller gives, because a script may load others.
+
+mod settings;
+
+pub use settings::{Agent, Health, Listener, Operator};
+
+use crate::config::Config;
+use crate::health::drain::{Balancer, Drain, Timetable};
+use crate::health::Knobs;
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value as Json};
+use starlark::codemap::FileSpan;
+use starlark::environment::{FrozenModule, Globals, GlobalsBuilder, LibraryExtension, Module};
+use starlark::eval::{Evaluator, FileLoader};
+use starlark::starlark_module;
+use starlark::syntax::{AstModule, Dialect};
+use starlark::values::dict::DictRef;
+use starlark::values::{Heap, Value};
+use std::cell::RefCell;
+use std::path::{Component, Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// The longest file, calls within calls, loops and calls in all, heap, time, files that load one another, and
+/// brackets within brackets. Ours: a file of some hundred lines uses a hundredth of each.
+const LONGEST: u64 = 64 * 1024;
+const CALL_DEPTH: usize = 50;
+const STEPS: u64 = 1_000_000;
+const HEAP: usize = 16 * 1024 * 1024;
+const TIME: Duration = Duration::from_secs(5);
+const LOAD_DEPTH: usize = 8;
+const NESTING: usize = 100;
+/// The stack of the thread that evaluates; the parser and compiler recurse as deep as an expression does.
+const STACK: usize = 64 * 1024 * 1024;
+
+/// What is wrong with an operator's file, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadFile {
+    /// The file at fault; a loaded one, perhaps.
+    pub file: String,
+    /// Line and column, counted from 1, where one is known.
+    pub at: Option<(usize, usize)>,
+    /// The key at fault, where one is.
+    pub key: Option<String>,
+    /// What is wrong.
+    pub fault: String,
+}
+
+impl std::fmt::Display for BadFile {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.file)?;
+        if let Some((line, column)) = self.at {
+            write!(f, ":{line}:{column}")?;
+        }
+        if let Some(key) = &self.key {
+            write!(f, ": {key}")?;
+        }
+        write!(f, ": {}", self.fault)
+    }
+}
+
+impl std::error::Error for BadFile {}
+
+/// A file that was evaluated, with what is needed to say where a key stands.
+#[derive(Clone, Debug, Default)]
+pub struct Evaluated {
+    /// What it sets.
+    pub operator: Operator,
+    file: String,
+    health_at: Option<Place>,
+}
+
+/// A call in a file: its text and where it begins.
+#[derive(Clone, Debug)]
+struct Place {
+    file: String,
+    text: String,
+    line: usize,
+    column: usize,
+}
+
+impl Place {
+    fn of(span: &FileSpan) -> Place {
+        let resolved = span.resolve();
+        Place {
+            file: resolved.file,
+            text: span.source_span().to_owned(),
+            line: resolved.span.begin.line + 1,
+            column: resolved.span.begin.column + 1,
+        }
+    }
+
+    /// Where the last part of a key is set within the call; the call itself where it is not.
+    fn find(&self, key: &str) -> (usize, usize) {
+        let leaf = key.rsplit('.').next().unwrap_or(key);
+        let leaf = leaf.split('[').next().unwrap_or(leaf);
+        let (mut line, mut column) = (self.line, self.column);
+        for (number, text) in self.text.lines().enumerate() {
+            if number > 0 {
+                (line, column) = (self.line + number, 1);
+            }
+            let code = text.split('#').next().unwrap_or(text);
+            for (at, _) in code.match_indices(leaf) {
+                let before = code[..at].chars().next_back();
+                let after = code[at + leaf.len()..].trim_start();
+                let word = before.is_some_and(|c| c.is_alphanumeric() || c == '_');
+                if !word && after.starts_with('=') && !after.starts_with("==") {
+                    return (line, column + code[..at].chars().count());
+                }
+            }
+        }
+        (self.line, self.column)
+    }
+
+    fn bad(&self, key: &str, fault: &str) -> BadFile {
+        BadFile {
+            file: self.file.clone(),
+            at: Some(self.find(key)),
+            key: Some(key.to_owned()),
+            fault: fault.to_owned(),
+        }
+    }
+}
+
+impl Evaluated {
+    /// Checks what the file sets beside the gateway's configuration; the drain's timetable where health is on.
+    pub fn beside(&self, config: &Config) -> Result<Option<Timetable>, BadFile> {
+        let Some(health) = &self.operator.health else { return Ok(None) };
+        health.beside(config).map(Some).map_err(|(key, fault)| match &self.health_at {
+            Some(place) => place.bad(&qualified(&key), &fault),
+            None => BadFile { file: self.file.clone(), at: None, key: Some(key), fault },
+        })
+    }
+}
+
+fn qualified(key: &str) -> String {
+    if key == "health" {
+        return key.into();
+    }
+    format!("health.{key}")
+}
+
+/// Evaluates a file, on a thread of its own that is gone when this returns.
+pub fn evaluate(path: &Path) -> Result<Evaluated, BadFile> {
+    let path = path.to_owned();
+    let file = path.display().to_string();
+    let bad = |fault: String| BadFile { file: file.clone(), at: None, key: None, fault };
+    let evaluating = std::thread::Builder::new().name("operator".into()).stack_size(STACK);
+    let thread = evaluating.spawn(move || evaluate_here(&path)).map_err(|error| bad(error.to_string()))?;
+    thread.join().unwrap_or_else(|_| Err(bad("the evaluation broke off".into())))
+}
+
+/// What a script's calls leave behind; one script at a time is evaluated on a thread.
+#[derive(Default)]
+struct Collected {
+    health: Option<(Health, Place)>,
+    /// The first fault that one of our functions found: an error of the evaluation would lose the key.
+    fault: Option<BadFile>,
+}
+
+thread_local! {
+    static COLLECTED: RefCell<Collected> = RefCell::default();
+}
+
+fn evaluate_here(path: &Path) -> Result<Evaluated, BadFile> {
+    COLLECTED.set(Collected::default());
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let loader = Loader {
+        globals: globals(),
+        folder: folder.to_owned(),
+        deadline: Instant::now() + TIME,
+        under_way: RefCell::default(),
+    };
+    let result = loader.run(path, path.display().to_string()).map(drop);
+    let collected = COLLECTED.take();
+    if let Some(fault) = collected.fault {
+        return Err(fault);
+    }
+    result?;
+    let mut evaluated = Evaluated { file: path.display().to_string(), ..Evaluated::default() };
+    if let Some((health, place)) = collected.health {
+        health.check().map_err(|(key, fault)| place.bad(&qualified(&key), &fault))?;
+        evaluated.operator.health = Some(health);
+        evaluated.health_at = Some(place);
+    }
+    Ok(evaluated)
+}
+
+/// Keeps the first fault.
+fn note(fault: BadFile) {
+    COLLECTED.with_borrow_mut(|collected| {
+        collected.fault.get_or_insert(fault);
+    });
+}
+
+struct Loader {
+    globals: Globals,
+    folder: PathBuf,
+    deadline: Instant,
+    under_way: RefCell<Vec<PathBuf>>,
+}
+
+impl Loader {
+    fn run(&self, path: &Path, name: String) -> Result<FrozenModule, BadFile> {
+        let bad = |fault: String| BadFile { file: name.clone(), at: None, key: None, fault };
+        let unreadable = |error: std::io::Error| bad(format!("cannot be read: {error}"));
+        let real = path.canonicalize().map_err(unreadable)?;
+        {
+            let mut under_way = self.under_way.borrow_mut();
+            if under_way.contains(&real) {
+                return Err(bad("loads itself".into()));
+            }
+            if under_way.len() >= LOAD_DEPTH {
+                return Err(bad(format!("loads go deeper than {LOAD_DEPTH} files")));
+            }
+            under_way.push(real);
+        }
+        let size = std::fs::metadata(path).map_err(unreadable)?.len();
+        if size > LONGEST {
+            return Err(bad(format!("{size} bytes are more than {LONGEST}")));
+        }
+        let text = std::fs::read_to_string(path).map_err(unreadable)?;
+        if let Some(line) = too_nested(&text) {
+            let fault = format!("brackets within brackets go deeper than {NESTING}");
+            return Err(BadFile { at: Some((line, 1)), ..bad(fault) });
+        }
+        let from = |error: starlark::Error| described(&name, &error);
+        let ast = AstModule::parse(&name, text, &Dialect::Standard).map_err(from)?;
+        let module = Module::with_temp_heap(|module| {
+            {
+                let mut evaluator = Evaluator::new(&module);
+                let bounds = evaluator.set_max_callstack_size(CALL_DEPTH);
+                let bounds = bounds.and_then(|()| evaluator.set_max_tick_count(STEPS));
+                bounds
+                    .and_then(|()| evaluator.set_max_heap_size(HEAP))
+                    .map_err(starlark::Error::new_other)?;
+                let deadline = self.deadline;
+                evaluator.set_check_cancelled(Box::new(move || Instant::now() >= deadline));
+                evaluator.set_loader(self);
+                evaluator.eval_module(ast, &self.globals)?;
+            }
+            module.freeze().map_err(|error| starlark::Error::new_other(anyhow::anyhow!("{error:?}")))
+        });
+        self.under_way.borrow_mut().pop();
+        module.map_err(from)
+    }
+}
+
+/// The line where brackets get too deep, were one to count all there are.
+fn too_nested(text: &str) -> Option<usize> {
+    let mut depth = 0usize;
+    for (number, line) in text.lines().enumerate() {
+        for byte in line.split('#').next().unwrap_or(line).bytes() {
+            match byte {
+                b'(' | b'[' | b'{' => depth += 1,
+                b')' | b']' | b'}' => depth = depth.saturating_sub(1),
+                _ => {}
+            }
+            if depth > NESTING {
+                return Some(number + 1);
+            }
+        }
+    }
+    None
+}
+
+fn described(name: &str, error: &starlark::Error) -> BadFile {
+    let place = error.span().map(Place::of);
+    let fault = error.without_diagnostic().to_string();
+    let fault = fault.lines().next().unwrap_or("error").to_owned();
+    BadFile {
+        file: place.as_ref().map_or_else(|| name.to_owned(), |place| place.file.clone()),
+        at: place.map(|place| (place.line, place.column)),
+        key: None,
+        fault,
+    }
+}
+
+impl FileLoader for Loader {
+    fn load(&self, path: &str) -> starlark::Result<FrozenModule> {
+        let refuse = |why: &str| starlark::Error::new_other(anyhow::anyhow!("load({path:?}): {why}"));
+        let plain = Path::new(path).components().all(|part| matches!(part, Component::Normal(_)));
+        if !plain || path.is_empty() {
+            return Err(refuse("only files below the folder of the operator's file are loaded"));
+        }
+        let full = self.folder.join(path);
+        // A link may lead out of the folder.
+        let inside = |real: &Path| self.folder.canonicalize().is_ok_and(|folder| real.starts_with(folder));
+        match full.canonicalize() {
+            Ok(real) if !inside(&real) => return Err(refuse("it leads out of the folder")),
+            Ok(_) => {}
+            Err(error) => return Err(refuse(&error.to_string())),
+        }
+        self.run(&full, full.display().to_string()).map_err(|fault| {
+            let text = fault.to_string();
+            note(fault);
+            starlark::Error::new_other(anyhow::anyhow!("{text}"))
+        })
+    }
+}
+
+fn globals() -> Globals {
+    GlobalsBuilder::extended_by(&[LibraryExtension::StructType, LibraryExtension::Print])
+        .with(functions)
+        .build()
+}
+
+/// Checks the arguments of a call against the type that they are for.
+fn checked<T: DeserializeOwned>(
+    what: &str,
+    arguments: &DictRef,
+    evaluator: &Evaluator,
+) -> anyhow::Result<(T, Map<String, Json>, Place)> {
+    let place = evaluator.call_stack_top_location().map(|span| Place::of(&span));
+    let place = place.unwrap_or(Place { file: "?".into(), text: String::new(), line: 0, column: 0 });
+    let fail = |key: &str, fault: &str| {
+        let key = if key.is_empty() || key == "." { what.to_owned() } else { format!("{what}.{key}") };
+        let fault = place.bad(&key, fault);
+        let text = fault.to_string();
+        note(fault);
+        anyhow::anyhow!("{text}")
+    };
+    let mut map = Map::new();
+    for (name, value) in arguments.iter() {
+        let name = name.unpack_str().unwrap_or("?");
+        let value = value.to_json_value().map_err(|_| fail(name, "is not plain data"))?;
+        // What is left out and what is None are the same.
+        if !value.is_null() {
+            map.insert(name.to_owned(), value);
+        }
+    }
+    let typed = serde_path_to_error::deserialize(Json::Object(map.clone())).map_err(|error| {
+        let (path, fault) = (error.path().to_string(), error.inner().to_string());
+        let unknown = fault.strip_prefix("unknown field `").and_then(|rest| rest.split('`').next());
+        let missing = fault.strip_prefix("missing field `").and_then(|rest| rest.split('`').next());
+        let key = unknown.or(missing).unwrap_or(&path);
+        fail(key, &fault)
+    })?;
+    Ok((typed, map, place))
+}
+
+/// A part that another call takes: its arguments, checked, as a dictionary.
+fn part<'v, T: DeserializeOwned>(
+    what: &str,
+    arguments: &DictRef<'v>,
+    evaluator: &mut Evaluator<'v, '_, '_>,
+) -> anyhow::Result<Value<'v>> {
+    let (_, map, _) = checked::<T>(what, arguments, evaluator)?;
+    let heap: Heap<'v> = evaluator.heap();
+    Ok(heap.alloc(Json::Object(map)))
+}
+
+#[starlark_module]
+fn functions(builder: &mut GlobalsBuilder) {
+    /// Where a front listens.
+    fn listener<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        part::<Listener>("listener", &arguments, eval)
+    }
+
+    /// The front of agent-check.
+    fn agent<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        part::<Agent>("agent", &arguments, eval)
+    }
+
+    /// How balancers check.
+    fn balancer<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        part::<Balancer>("balancer", &arguments, eval)
+    }
+
+    /// The drain.
+    fn drain<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        part::<Drain>("drain", &arguments, eval)
+    }
+
+    /// The decisions.
+    fn knobs<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        part::<Knobs>("knobs", &arguments, eval)
+    }
+
+    /// Health for balancers; called once at most.
+    fn health<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        let (health, _, place) = checked::<Health>("health", &arguments, eval)?;
+        COLLECTED.with_borrow_mut(|collected| match &collected.health {
+            None => collected.health = Some((health, place)),
+            Some((_, first)) => {
+                let fault = format!("is set already, at {}:{}", first.file, first.line);
+                collected.fault.get_or_insert(place.bad("health", &fault));
+            }
+        });
+        Ok(Value::new_none())
+    }
+}
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,121 @@
+//! The operator's file: what it sets, and what is said of each wrong one.
+use asterreel::config::Config;
+use asterreel::operator::{evaluate, BadFile};
+use std::path::Path;
+
+fn fault(text: &str) -> BadFile {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("operator.star");
+    std::fs::write(&path, text).expect("written");
+    let config = Config::parse(include_bytes!("../examples/config.json"), |_| None).expect("good");
+    let checked = evaluate(&path).and_then(|evaluated| evaluated.beside(&config));
+    checked.expect_err(text)
+}
+
+#[test]
+fn the_example_and_the_deployments_file_are_good() {
+    let config = Config::parse(include_bytes!("../examples/config.json"), |_| None).expect("good");
+    let example = evaluate(Path::new("examples/operator.star")).expect("good");
+    let health = example.operator.health.as_ref().expect("set");
+    let listeners: Vec<_> = health.listeners().iter().map(|(_, address)| address.port()).collect();
+    assert_eq!(listeners, [6460, 6461, 6462]);
+    let table = example.beside(&config).expect("fits").expect("health is on");
+    assert_eq!((table.announce, table.answer_until), (900_000, 3_600_000));
+    let deployed = evaluate(Path::new("deploy/linz-rides.star")).expect("good");
+    assert_eq!(deployed.operator.health, None);
+    assert_eq!(deployed.beside(&config), Ok(None));
+}
+
+#[test]
+fn each_wrong_file_is_rejected_with_its_key_line_and_column() {
+    // What the file says behind `health(\n`, the key that is named, and where.
+    let cases: &[(&str, &str, (usize, usize))] = &[
+        ("  agnt = agent(listen = '127.0.0.1:1')", "health.agnt", (2, 3)),
+        ("  agent = agent(listen = 'here')", "agent.listen", (2, 17)),
+        ("  agent = agent(lisen = '127.0.0.1:1')", "agent.lisen", (2, 17)),
+        ("  agent = agent()", "agent.listen", (2, 11)),
+        ("  agent = agent(listen = '127.0.0.1:0')", "health.agent.listen", (2, 17)),
+        ("  agent = agent(listen = '127.0.0.1:1', wait_ms = 900)", "health.agent.wait_ms", (2, 41)),
+        ("  agent = agent(listen = '127.0.0.1:1', maxconn = 'yes')", "agent.maxconn", (2, 41)),
+        ("  http = listener(listen = 7)", "listener.listen", (2, 19)),
+        ("  http = listener(listen = '127.0.0.1:1'),\n  grpc = listener(listen = '127.0.0.1:1')", "health.grpc.listen", (2, 19)),
+        ("  http = listener(listen = '127.0.0.1:6433')", "health.http.listen", (2, 19)),
+        ("  http = listener(listen = '127.0.0.1:1'),\n  allow = ['10.0.0.0/33']", "health.allow[0]", (3, 3)),
+        ("  http = listener(listen = '127.0.0.1:1'),\n  allow = []", "health.allow", (3, 3)),
+        ("  http = listener(listen = '127.0.0.1:1'),\n  connections = 2", "health.connections", (3, 3)),
+        ("  http = listener(listen = '127.0.0.1:1'),\n  connections = -2", "health.connections", (3, 3)),
+        ("  notify = True,\n  knobs = knobs(floor = 0)", "health.knobs.floor", (3, 17)),
+        ("  notify = True,\n  knobs = knobs(strain_high = 0.1, strain_low = 0.1)", "health.knobs.strain_low", (3, 36)),
+        ("  notify = True,\n  knobs = knobs(beat_every_ms = 200, hung_after_ms = 300)", "health.knobs.hung_after_ms", (3, 38)),
+        ("  notify = True,\n  knobs = knobs(rise_step = 300)", "knobs.rise_step", (3, 17)),
+        ("  http = listener(listen = '127.0.0.1:1'),\n  balancer = balancer(interval_ms = 900, fall = 3)", "health.balancer.interval_ms", (3, 23)),
+        ("  notify = True,\n  http = listener(listen = '127.0.0.1:1'),\n  drain = drain(announce_ms = 760)", "health.drain.announce_ms", (4, 17)),
+        ("  notify = True,\n  drain = drain(announce_ms = 2500)", "health.drain.announce_ms", (3, 17)),
+        ("  notify = True,\n  drain = drain(kill_after_ms = 800)", "health.drain.kill_after_ms", (3, 17)),
+        ("  notify = 'yes'", "health.notify", (2, 3)),
+        ("  connections = 40", "health", (1, 1)),
+    ];
+    for (text, key, at) in cases {
+        let fault = fault(&format!("health(\n{text}\n)\n"));
+        assert_eq!((fault.key.as_deref(), fault.at), (Some(*key), Some(*at)), "{fault}");
+        assert!(fault.to_string().contains(key) && fault.file.ends_with("operator.star"), "{fault}");
+    }
+}
+
+#[test]
+fn what_is_no_script_or_runs_away_is_stopped_and_placed() {
+    let deep = format!("x = {}1{}\n", "(".repeat(5000), ")".repeat(5000));
+    let long = format!("x = 1{}\n", " + 1".repeat(16_000));
+    let cases: &[(&str, &str, Option<usize>)] = &[
+        ("health(\n", "parse error", Some(2)),
+        ("\nhelth()\n", "helth", Some(2)),
+        ("health(notify = True)\nhealth(notify = True)\n", "is set already", Some(2)),
+        ("def f(n):\n    return f(n + 1)\nf(0)\n", "overflow", None),
+        ("def f():\n    for i in range(100000000):\n        pass\nf()\n", "limit", None),
+        (
+            "def f():\n    x = []\n    for i in range(900000):\n        x.append(str(i) * 100)\nf()\n",
+            "limit",
+            None,
+        ),
+        ("load('../x.star', 'x')\n", "below the folder", None),
+        ("load('/etc/hostname', 'x')\n", "below the folder", None),
+        ("load('operator.star', 'x')\n", "loads itself", None),
+        ("load('missing.star', 'x')\n", "missing.star", None),
+        ("health(http = 7)\n", "http", Some(1)),
+        (&deep, "brackets", Some(1)),
+        (&" ".repeat(70_000), "65536", None),
+    ];
+    for (text, wanted, line) in cases {
+        let fault = fault(text);
+        let shown = fault.to_string().to_lowercase();
+        assert!(shown.contains(&wanted.to_lowercase()), "{wanted:?} is not in {shown:.300}");
+        assert!(line.is_none() || fault.at.map(|at| at.0) == *line, "{shown:.300}");
+    }
+    // Long, but in bounds: the stack holds it.
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("long.star");
+    std::fs::write(&path, long).expect("written");
+    evaluate(&path).expect("good");
+}
+
+#[test]
+fn parts_may_be_loaded_from_below_the_folder_and_a_fault_there_is_placed_there() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("operator.star");
+    std::fs::create_dir(folder.path().join("parts")).expect("made");
+    let part = folder.path().join("parts/http.star");
+    std::fs::write(&path, "load('parts/http.star', 'front')\nhealth(http = front(6461))\n").expect("written");
+    std::fs::write(&part, "def front(port):\n    return listener(listen = '127.0.0.1:%d' % port)\n")
+        .expect("written");
+    let health = evaluate(&path).expect("good").operator.health.expect("set");
+    assert_eq!(health.http.expect("set").listen.port(), 6461);
+    std::fs::write(&part, "\ndef front(port):\n    return listener(listen = port)\n").expect("written");
+    let fault = evaluate(&path).expect_err("a number is no address");
+    assert!(fault.file.ends_with("parts/http.star"), "{fault}");
+    assert_eq!((fault.key.as_deref(), fault.at), (Some("listener.listen"), Some((3, 21))));
+    // A link that leads out is no way out.
+    let elsewhere = tempfile::NamedTempFile::new().expect("a file");
+    std::os::unix::fs::symlink(elsewhere.path(), folder.path().join("out.star")).expect("linked");
+    std::fs::write(&path, "load('out.star', 'x')\n").expect("written");
+    assert!(evaluate(&path).expect_err("a way out").to_string().contains("out of the folder"));
+}
