Measure with stand-ins what balancers learn, and bother the health fronts in tests

Need: the claim that a balancer hears within 500 ms wants a balancer, and databases that fail on cue. Change: the rig (databases that crash, elect, lag, start cold; discovery; a balancer with agent, HTTP and connect checks; an open load from a seed; real gateways whose worker alone can be stopped), four experiments on it, and tests that crowd, starve, drain and freeze a real gateway. The toy server is the rig's now.

--- /dev/null
+++ b/rig/src/gateway.rs
@@ -0,0 +1,218 @@
+//! Real gateways: started as processes of their own, signalled, watched, and frozen in part.
+
+use nix::sys::ptrace;
+use nix::sys::signal::{kill, Signal};
+use nix::sys::wait::{waitpid, WaitPidFlag};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
+use std::io::{self, BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How a gateway is set up.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The program.
+    pub program: PathBuf,
+    /// Where clients connect, agent-check, HTTP.
+    pub client: SocketAddr,
+    /// See `client`.
+    pub agent: SocketAddr,
+    /// See `client`.
+    pub http: SocketAddr,
+    /// Health is on.
+    pub health: bool,
+    /// The balancer's interval, milliseconds, and what else `health(...)` is given.
+    pub interval_ms: u64,
+    /// See `interval_ms`.
+    pub extra: String,
+    /// The fleet's discovery and list.
+    pub discovery: SocketAddr,
+    /// See `discovery`.
+    pub known: Value,
+    /// Descriptors allowed.
+    pub sockets: usize,
+}
+
+/// Addresses that were free a moment ago, on loopback.
+pub fn free(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let held: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+    held.iter().map(TcpListener::local_addr).collect()
+}
+
+/// A line of a gateway's log.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// When it was read, Unix microseconds.
+    pub at: u64,
+    /// Its fields.
+    pub fields: Value,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    child: Child,
+    log: Arc<Mutex<Vec<Line>>>,
+    _files: tempfile::TempDir,
+}
+
+/// The settings of the rig's databases, in the platform's words.
+fn settings() -> Value {
+    json!({
+        "Allowed": {"Cancel": true, "ConnIdleUs": 15_000_000, "ConnectTimeoutUs": 250_000, "MaxAttempts": 10, "MayProbe": true},
+        "Discovery": "subscribe",
+        "FamilyInfo": {"Checks": "none", "Consistency": ["lag_bound", "mutate"], "ProgressTold": true,
+            "RoleListed": "static", "SessionMarks": "brought", "StalenessBoundUs": [500_000, 0]},
+        "FleetSize": 1, "PeriodUs": 5000,
+        "Profiles": [
+            {"DeadlineUs": 1_200_000, "Effect": "free", "LateWorth": 0.2, "Name": "search", "SloUs": 300_000, "Worth": 2.0},
+            {"DeadlineUs": 3_000_000, "Effect": "single_shot", "LateWorth": 0.5, "Name": "booking", "SloUs": 1_000_000, "Worth": 3.0}
+        ],
+        "Report": {"Names": ["x0", "x1", "utilization"], "Source": "probe"},
+        "Rules": {"AnswerSlackUs": 20_000, "AskEveryUs": 10_000_000, "ColdUs": 18_000_000, "DrainGraceUs": 2_000_000,
+            "FallMultiple": 2.5, "FallUs": 2_000_000, "StartCapacity": 0.16},
+        "Zone": 0, "Zones": ["here"]
+    })
+}
+
+impl Gateway {
+    /// Starts one.
+    pub fn start(plan: &Plan) -> io::Result<Gateway> {
+        let files = tempfile::tempdir()?;
+        let config = json!({
+            "name": "rig", "listen": plan.client.to_string(), "discovery": plan.discovery.to_string(),
+            "seed": "1", "limits": {"sockets": plan.sockets}, "known": plan.known, "settings": settings(),
+        });
+        let path = files.path().join("config.json");
+        std::fs::write(&path, config.to_string())?;
+        let mut command = Command::new(&plan.program);
+        command.env("RELAY_CONFIG", &path).env_remove("RELAY_LISTEN").env_remove("RELAY_DISCOVERY");
+        command.env("RELAY_LOG", "info").args(["run", "--log-format", "json"]);
+        if plan.health {
+            let operator = files.path().join("operator.star");
+            let text = format!(
+                "health(\n  agent = agent(listen = '{}', wait_ms = 5),\n  http = listener(listen = '{}'),\n  \
+                 balancer = balancer(interval_ms = {}, fall = 2, timeout_ms = 200),\n  {}\n)\n",
+                plan.agent, plan.http, plan.interval_ms, plan.extra
+            );
+            std::fs::write(&operator, text)?;
+            command.arg("--operator").arg(&operator);
+        }
+        let mut child = command.stderr(Stdio::piped()).stdin(Stdio::null()).spawn()?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        if let Some(stderr) = child.stderr.take() {
+            let log = log.clone();
+            thread::spawn(move || {
+                for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                    let fields = serde_json::from_str(&line).unwrap_or(Value::String(line));
+                    let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+                    log.push(Line { at: crate::now(), fields });
+                }
+            });
+        }
+        Ok(Gateway { child, log, _files: files })
+    }
+
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> Vec<Line> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Waits until a line satisfies this, from the given line on.
+    pub fn logged(&self, from: usize, within: Duration, wanted: impl Fn(&Value) -> bool) -> Option<Line> {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            let log = self.log();
+            if let Some(line) = log.iter().skip(from).find(|line| wanted(&line.fields)) {
+                return Some(line.clone());
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        None
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        Ok(kill(Pid::from_raw(self.child.id() as i32), signal)?)
+    }
+
+    /// Waits for its end; false when it ended badly.
+    pub fn wait(&mut self, within: Duration) -> io::Result<bool> {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.success());
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+        Err(io::ErrorKind::TimedOut.into())
+    }
+
+    /// CPU time it has used, microseconds.
+    pub fn cpu_us(&self) -> io::Result<u64> {
+        let stat = std::fs::read_to_string(Path::new("/proc").join(self.id().to_string()).join("stat"))?;
+        let rest = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+        let field =
+            |number: usize| rest.split_whitespace().nth(number).and_then(|text| text.parse::<u64>().ok());
+        // utime and stime, in hundredths of a second (proc(5)).
+        Ok((field(11).unwrap_or(0) + field(12).unwrap_or(0)) * 10_000)
+    }
+
+    /// Descriptors it holds, and its resident memory in KiB.
+    pub fn holds(&self) -> io::Result<(usize, u64)> {
+        let process = Path::new("/proc").join(self.id().to_string());
+        let status = std::fs::read_to_string(process.join("status"))?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident = resident.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok());
+        Ok((std::fs::read_dir(process.join("fd"))?.count(), resident.unwrap_or(0)))
+    }
+
+    /// Stops the thread that runs requests, and nothing else, until the guard is dropped: the port still accepts and
+    /// other threads go on. Only for a process that this one started.
+    pub fn freeze(&self) -> io::Result<Frozen> {
+        let mut threads = Vec::new();
+        for entry in std::fs::read_dir(Path::new("/proc").join(self.id().to_string()).join("task"))? {
+            let entry = entry?;
+            let name = std::fs::read_to_string(entry.path().join("comm"))?;
+            let id: Option<i32> = entry.file_name().to_str().and_then(|text| text.parse().ok());
+            // Threads of the program that have names of their own are not the worker.
+            let named = ["timer", "health", "health-log", "health-notify", "operator"].contains(&name.trim());
+            if let Some(id) = id.filter(|id| !named && *id != self.id() as i32) {
+                threads.push(Pid::from_raw(id));
+            }
+        }
+        for thread in &threads {
+            ptrace::attach(*thread)?;
+            waitpid(*thread, Some(WaitPidFlag::__WALL))?;
+        }
+        Ok(Frozen(threads))
+    }
+}
+
+/// Threads that stand still until this is dropped, on the thread that stopped them.
+pub struct Frozen(Vec<Pid>);
+
+impl Drop for Frozen {
+    fn drop(&mut self) {
+        for thread in &self.0 {
+            let _ = ptrace::detach(*thread, None);
+        }
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/src/health/agent.rs
+++ b/src/health/agent.rs
@@ -98,6 +98,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::fuzz;
 
     fn status(state: State, weight: u8, reason: Reason) -> Option<Status> {
         Some(Status { state, weight, reason })
@@ -138,4 +139,21 @@
         assert_eq!(selector(b"\xff\n"), Selector::Bad);
         assert_eq!(selector(&[b'1'; LONGEST]), Selector::Bad, "a megabyte without a line end");
     }
+
+    #[test]
+    fn cuts_and_garbage_never_panic_and_a_cut_selector_means_what_the_whole_does() {
+        let whole = b"group 17\n";
+        fuzz::cuts(whole, |ends| {
+            for end in ends {
+                let wanted = if *end == whole.len() { Selector::Group(GroupId(17)) } else { Selector::More };
+                assert_eq!(selector(&whole[..*end]), wanted);
+            }
+        });
+        fuzz::garbage(b"ready up 75% maxconn:9 #fine\n", |bytes| {
+            let told = parse(bytes);
+            assert_eq!(told.is_some(), bytes.iter().any(|byte| matches!(byte, b'\n' | b'\r')));
+            let more = selector(bytes) == Selector::More;
+            assert!(!more || bytes.len() < LONGEST && !bytes.contains(&b'\n'));
+        });
+    }
 }
--- a/src/health/grpc.rs
+++ b/src/health/grpc.rs
@@ -79,6 +79,7 @@
 mod tests {
     use super::super::{Reason, State};
     use super::*;
+    use crate::fuzz;
 
     #[test]
     fn requests_come_back_from_their_frames_and_never_half() {
@@ -104,4 +105,13 @@
         );
         assert_eq!(frame(&Response { status: serving(None) as i32 }), b"\0\0\0\0\x02\x08\x03");
     }
+
+    #[test]
+    fn garbage_is_an_error_or_incomplete_and_never_read_past() {
+        fuzz::garbage(&frame(&Request { service: "17".into() }), |bytes| {
+            if let Ok(Some(found)) = request(bytes) {
+                assert!(found.service.len() + 5 <= bytes.len());
+            }
+        });
+    }
 }
--- a/src/health/http.rs
+++ b/src/health/http.rs
@@ -243,6 +243,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::fuzz;
 
     fn facts(state: State, weight: u8, reason: Reason) -> Facts {
         let status = Status { state, weight, reason };
@@ -340,4 +341,24 @@
             assert_eq!((said, ended), (code, ends), "{text:.60}");
         }
     }
+
+    #[test]
+    fn a_request_is_the_same_however_it_is_cut_and_garbage_is_bounded() {
+        let text = get("/health/groups/3");
+        let whole = request(text.as_bytes()).expect("valid").expect("whole");
+        fuzz::cuts(text.as_bytes(), |ends| {
+            for end in ends {
+                let found = request(&text.as_bytes()[..*end]).expect("valid");
+                assert_eq!(found.as_ref(), Some(&whole).filter(|_| *end == text.len()));
+            }
+        });
+        let facts = facts(State::Up, 100, Reason::Fine);
+        fuzz::garbage(text.as_bytes(), |bytes| {
+            let found = request(bytes);
+            assert!(!matches!(&found, Ok(Some(request)) if request.length > bytes.len()));
+            if let Some(found) = found.transpose() {
+                assert!(answer(&found, &facts).0.starts_with(b"HTTP/1.1 "));
+            }
+        });
+    }
 }
--- a/src/health/postgres.rs
+++ b/src/health/postgres.rs
@@ -117,6 +117,7 @@
 mod tests {
     use super::super::{Reason, State};
     use super::*;
+    use crate::fuzz;
 
     fn startup(database: &str) -> Vec<u8> {
         let words = format!("user\0web\0database\0{database}\0\0");
@@ -155,4 +156,23 @@
         let mut check = Check { greeted: true, encrypt_asked: false };
         assert_eq!(check.take(b"Q", &mut Vec::new()), (1, Next::Close));
     }
+
+    #[test]
+    fn cuts_wait_for_the_rest_and_garbage_is_bounded() {
+        let whole = startup("group-7");
+        fuzz::cuts(&whole, |ends| {
+            for end in ends {
+                let (used, next) = Check::default().take(&whole[..*end], &mut Vec::new());
+                let wanted =
+                    if *end == whole.len() { (*end, Next::Greet(Some(GroupId(7)))) } else { (0, Next::More) };
+                assert_eq!((used, next), wanted);
+            }
+        });
+        fuzz::garbage(&whole, |bytes| {
+            let mut out = Vec::new();
+            let (used, next) = Check::default().take(bytes, &mut out);
+            assert!(used <= bytes.len() && out.len() < 256);
+            assert!(next != Next::More || used > 0 || bytes.len() < LONGEST);
+        });
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,10 @@
 #![warn(missing_docs)]
 
 pub mod config;
+/// The one helper of all parser tests; the program's share it.
+#[cfg(test)]
+#[path = "bin/asterreel/fuzz.rs"]
+mod fuzz;
 pub mod health;
 pub mod interface;
 pub mod operator;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,7 +1,5 @@
-//! The gateway on sockets, in front of the example's toy databases and discovery.
-#[path = "../examples/toy_server.rs"]
-mod toy;
-
+//! The gateway on sockets, in front of the rig's databases and discovery.
+use asterreel_rig::database as toy;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -66,7 +64,7 @@
         let (listener, tell) = (listen(), tell.clone());
         let address = listener.local_addr().expect("bound").to_string();
         config = config.replace(&format!("127.0.0.1:{port}"), &address);
-        thread::spawn(move || toy::database(&listener, role, Some(tell), spoil));
+        thread::spawn(move || toy::toy(&listener, role, Some(tell), spoil));
     }
     let from = config.find("{\"revision\"").expect("a list");
     let to = config.find("]},").expect("its end") + 2;
