--- a/rig/src/health.rs
+++ b/rig/src/health.rs
@@ -24,7 +24,7 @@
     Changes,
     /// A rolling restart of three gateways under load, with and without health
     Rolling,
-    /// One gateway that loses its way to the primary, and one that stands still half of the time
+    /// One gateway cut off from the primary, a primary that dies, and a gateway that stands still most of the time
     Outage,
     /// CPU, memory and descriptors, off and on, with 200 checks a second
     Cost,
@@ -248,6 +248,17 @@
     Ok(())
 }
 
+/// How the balancer learns of gateways.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Front {
+    /// Whether a connection opens, every 2 s, and three in a row.
+    SlowConnect,
+    /// The same every 100 ms, and two in a row.
+    Connect,
+    /// Agent-check every 100 ms.
+    Agent,
+}
+
 /// What three gateways under load came to.
 struct Played {
     records: Vec<Record>,
@@ -259,11 +270,12 @@
 /// Plays a load over three gateways while `faults` does what it does to them.
 fn play(
     setting: &Setting,
-    health: bool,
+    front: Front,
     shape: load::Shape,
     faults: impl FnOnce(&Fleet, &mut [Gateway], &[Plan], &Balancer) -> anyhow::Result<()>,
 ) -> anyhow::Result<Played> {
     let fleet = Fleet::start(fleet::Shape { members: 4, gateways: 3, ..fleet::Shape::default() })?;
+    let health = front == Front::Agent;
     let plans: Vec<Plan> =
         (0..3).map(|number| plan(setting, &fleet, number, health, "")).collect::<anyhow::Result<_>>()?;
     let mut gateways: Vec<Gateway> = plans.iter().map(Gateway::start).collect::<Result<_, _>>()?;
@@ -271,11 +283,16 @@
         true => Check::Agent(plan.agent, "\n".into()),
         false => Check::Connect(plan.client),
     };
-    let balancer = Balancer::start(plans.iter().map(check).collect(), Pace::default());
+    let pace = match front {
+        // What balancers do unless told otherwise.
+        Front::SlowConnect => Pace { interval: Duration::from_secs(2), fall: 3, rise: 2, ..Pace::default() },
+        Front::Connect | Front::Agent => Pace::default(),
+    };
+    let balancer = Balancer::start(plans.iter().map(check).collect(), pace);
     for number in 0..3 {
         ensure!(recorded(&balancer, number, 0, |change| change.weight == 100).is_some(), "it never came up");
     }
-    // Without health it is in as soon as its port opens: give its members the time that health would wait for.
+    // Without health, a gateway is in as soon as its port opens: give its members the time that health would wait for.
     thread::sleep(Duration::from_secs(1));
     let addresses: Vec<_> = plans.iter().map(|plan| plan.client).collect();
     let (playing, begun) = (balancer.clone(), now());
@@ -370,9 +387,13 @@
         seed: setting.seed,
     };
     let (mut rows, mut lines) = (Vec::new(), Vec::new());
-    for (arm, health) in [("without health", false), ("with health", true)] {
+    for (arm, front) in [
+        ("connect check every 2 s", Front::SlowConnect),
+        ("connect check every 100 ms", Front::Connect),
+        ("agent-check every 100 ms", Front::Agent),
+    ] {
         let mut drains: Vec<(usize, u64, u64)> = Vec::new();
-        let played = play(setting, health, shape, |_, gateways, plans, balancer| {
+        let played = play(setting, front, shape, |_, gateways, plans, balancer| {
             thread::sleep(Duration::from_secs(3));
             for number in 0..3 {
                 let told = now();
@@ -431,13 +452,16 @@
         ("health-outage", "The primary dies at 5 s, the next is elected at 9 s", Trouble::Outage),
         (
             "health-overload",
-            "One of three gateways stands still half of the time, 5 s to 15 s",
+            "One of three gateways stands still 0.7 s of each second, 5 s to 15 s",
             Trouble::Overload,
         ),
     ] {
         let (mut rows, mut lines) = (Vec::new(), Vec::new());
-        for (arm, health) in [("without weights", false), ("with weights", true)] {
-            let played = play(setting, health, shape, |fleet, gateways, _, _| {
+        for (arm, front) in [
+            ("without weights", Front::Connect),
+            ("with weights", Front::Agent),
+        ] {
+            let played = play(setting, front, shape, |fleet, gateways, _, _| {
                 thread::sleep(Duration::from_secs(5));
                 match fault {
                     Trouble::Cut => {
@@ -457,9 +481,9 @@
                         let until = Instant::now() + Duration::from_secs(10);
                         while Instant::now() < until {
                             gateways[0].signal(Signal::SIGSTOP)?;
-                            thread::sleep(Duration::from_millis(400));
+                            thread::sleep(Duration::from_millis(700));
                             gateways[0].signal(Signal::SIGCONT)?;
-                            thread::sleep(Duration::from_millis(400));
+                            thread::sleep(Duration::from_millis(300));
                         }
                     }
                 }
--- /dev/null
+++ b/src/cells/who.rs
@@ -0,0 +1,158 @@
+//! Who asks: the tenant of a session, from what a client can't forge in a statement.
+
+use ipnet::IpNet;
+use serde::Deserialize;
+use std::net::IpAddr;
+
+/// Where a tenant's name is taken from.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Source {
+    /// `user` of the startup message.
+    User,
+    /// `application_name` of the startup message.
+    Application,
+    /// The network that the client connects from: the most specific one wins.
+    Network(Vec<(IpNet, String)>),
+    /// A value of the statement's comment, by its name. Any client can write what it likes there, so this is used only
+    /// where the file names it.
+    TrustedComment(String),
+}
+
+/// What is known of a client, and of the statement in hand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Caller<'a> {
+    /// `user`.
+    pub user: &'a str,
+    /// `application_name`.
+    pub application: &'a str,
+    /// Its address.
+    pub address: Option<IpAddr>,
+    /// Names and values of the statement's comment.
+    pub comment: &'a [(&'a str, &'a str)],
+}
+
+/// The longest name of a tenant, bytes: names are keys of maps.
+pub const LONGEST: usize = 63;
+
+/// Says who asks: the first source that knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Who {
+    sources: Vec<Source>,
+}
+
+impl Who {
+    /// Asks these, in order; a fault names the key.
+    pub fn new(sources: Vec<Source>) -> Result<Who, (String, String)> {
+        for (place, source) in sources.iter().enumerate() {
+            let key = |part: &str| format!("who[{place}]{part}");
+            if sources[..place]
+                .iter()
+                .any(|other| std::mem::discriminant(other) == std::mem::discriminant(source))
+            {
+                return Err((key(""), "this source is named already".into()));
+            }
+            match source {
+                Source::Network(nets) => {
+                    for (at, (net, name)) in nets.iter().enumerate() {
+                        if !sound(name) {
+                            return Err((
+                                key(&format!(".network[{at}]")),
+                                format!("{name:?} is no tenant's name"),
+                            ));
+                        }
+                        if let Some((_, other)) = nets[..at].iter().find(|(other, _)| other == net) {
+                            let fault = format!("{net} is {other}'s already");
+                            return Err((key(&format!(".network[{at}]")), fault));
+                        }
+                    }
+                }
+                Source::TrustedComment(name) if !sound(name) => {
+                    return Err((key(".trusted_comment"), format!("{name:?} is no name in a comment")));
+                }
+                Source::User | Source::Application | Source::TrustedComment(_) => {}
+            }
+        }
+        Ok(Who { sources })
+    }
+
+    /// The tenant's name; nothing when no source knows one that can be a name.
+    pub fn asks<'a>(&'a self, caller: &Caller<'a>) -> Option<&'a str> {
+        self.sources.iter().find_map(|source| {
+            let name = match source {
+                Source::User => Some(caller.user),
+                Source::Application => Some(caller.application),
+                Source::Network(nets) => {
+                    let address = caller.address?.to_canonical();
+                    let around = nets.iter().filter(|(net, _)| net.contains(&address));
+                    around.max_by_key(|(net, _)| net.prefix_len()).map(|(_, name)| name.as_str())
+                }
+                Source::TrustedComment(key) => {
+                    caller.comment.iter().find(|(name, _)| name == key).map(|(_, value)| *value)
+                }
+            };
+            name.filter(|name| sound(name))
+        })
+    }
+
+    /// Whether a tenant can differ from statement to statement of one session.
+    pub fn by_statement(&self) -> bool {
+        self.sources.iter().any(|source| matches!(source, Source::TrustedComment(_)))
+    }
+}
+
+/// A name that can be logged, told and stored.
+fn sound(name: &str) -> bool {
+    (1..=LONGEST).contains(&name.len())
+        && name.bytes().all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'@'))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn net(text: &str, name: &str) -> (IpNet, String) {
+        (text.parse().expect("a network"), name.into())
+    }
+
+    #[test]
+    fn the_first_source_that_knows_wins_and_the_narrowest_network() {
+        let nets = vec![
+            net("10.0.0.0/8", "wide"),
+            net("10.1.0.0/16", "narrow"),
+            net("2001:db8::/32", "six"),
+        ];
+        let who = Who::new(vec![Source::Network(nets), Source::Application, Source::User]).expect("good");
+        let caller = |address: &str| Caller {
+            user: "web",
+            application: "app",
+            address: address.parse().ok(),
+            comment: &[("tenant", "forged")],
+        };
+        assert_eq!(who.asks(&caller("10.1.2.3")), Some("narrow"));
+        assert_eq!(who.asks(&caller("::ffff:10.2.0.1")), Some("wide"));
+        assert_eq!(who.asks(&caller("2001:db8::1")), Some("six"));
+        assert_eq!(who.asks(&caller("192.0.2.1")), Some("app"));
+        let nameless = Caller { application: "no name\n", user: "", ..caller("192.0.2.1") };
+        assert_eq!(who.asks(&nameless), None);
+        assert!(!who.by_statement());
+    }
+
+    #[test]
+    fn a_comment_counts_only_where_the_file_trusts_it_and_faults_name_their_key() {
+        let who = Who::new(vec![Source::TrustedComment("tenant".into()), Source::User]).expect("good");
+        let comment = [("tenant", "seven")];
+        let caller = Caller { user: "web", comment: &comment, ..Caller::default() };
+        assert_eq!(who.asks(&caller), Some("seven"));
+        assert_eq!(who.asks(&Caller { comment: &[], ..caller }), Some("web"));
+        assert!(who.by_statement());
+        let twice = Who::new(vec![Source::User, Source::User]).expect_err("twice");
+        assert_eq!(twice.0, "who[1]");
+        let nets = vec![net("10.0.0.0/8", "one"), net("10.0.0.0/8", "two")];
+        let double = Who::new(vec![Source::Network(nets)]).expect_err("twice");
+        assert_eq!(
+            (double.0.as_str(), double.1.as_str()),
+            ("who[0].network[1]", "10.0.0.0/8 is one's already")
+        );
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cells;
 pub mod config;
 /// The one helper of all parser tests; the program's share it.
 #[cfg(test)]
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -25,15 +25,15 @@
 use std::path::{Component, Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// The longest file, calls within calls, loops and calls in all, heap, time, files that load one another, and
-/// brackets within brackets. Ours: a file of some hundred lines uses a hundredth of each.
+/// The longest file, calls within calls, loops and calls in all, heap, time, files that load one another, and levels
+/// of an expression. Ours: a file of some hundred lines uses a hundredth of each.
 const LONGEST: u64 = 64 * 1024;
 const CALL_DEPTH: usize = 50;
 const STEPS: u64 = 1_000_000;
 const HEAP: usize = 16 * 1024 * 1024;
 const TIME: Duration = Duration::from_secs(5);
 const LOAD_DEPTH: usize = 8;
-const NESTING: usize = 100;
+const DEEPEST: usize = 200;
 /// The stack of the thread that evaluates; the parser and compiler recurse as deep as an expression does.
 const STACK: usize = 64 * 1024 * 1024;
 
@@ -224,8 +224,8 @@
             return Err(bad(format!("{size} bytes are more than {LONGEST}")));
         }
         let text = std::fs::read_to_string(path).map_err(unreadable)?;
-        if let Some(line) = too_nested(&text) {
-            let fault = format!("brackets within brackets go deeper than {NESTING}");
+        if let Some(line) = too_deep(&text) {
+            let fault = format!("brackets and operators go deeper than {DEEPEST}");
             return Err(BadFile { at: Some((line, 1)), ..bad(fault) });
         }
         let from = |error: starlark::Error| described(&name, &error);
@@ -250,20 +250,55 @@
     }
 }
 
-/// The line where brackets get too deep, were one to count all there are.
-fn too_nested(text: &str) -> Option<usize> {
-    let mut depth = 0usize;
-    for (number, line) in text.lines().enumerate() {
-        for byte in line.split('#').next().unwrap_or(line).bytes() {
-            match byte {
-                b'(' | b'[' | b'{' => depth += 1,
-                b')' | b']' | b'}' => depth = depth.saturating_sub(1),
-                _ => {}
+/// The line where an expression gets too deep: brackets within brackets and operators on one another, whichever way
+/// they lean. The parser and the compiler recurse along them, and a stack that overflows ends the process. Counts too
+/// much rather than too little: each operator since the last comma as a level, in all that it stands in.
+fn too_deep(text: &str) -> Option<usize> {
+    let bytes = text.as_bytes();
+    // The level at each open bracket, and of what comes next.
+    let (mut open, mut level, mut elifs) = (Vec::new(), 0usize, 0usize);
+    let (mut at, mut line) = (0, 1);
+    while at < bytes.len() {
+        let rest = &bytes[at..];
+        let mut used = 1;
+        match rest[0] {
+            b'\n' => {
+                line += 1;
+                level = if open.is_empty() { 0 } else { level };
             }
-            if depth > NESTING {
-                return Some(number + 1);
+            b'#' => used = rest.iter().position(|byte| *byte == b'\n').unwrap_or(rest.len()),
+            quote @ (b'"' | b'\'') => {
+                let end: &[u8] = if rest.starts_with(&[quote; 3]) { &[quote; 3] } else { &[quote] };
+                used = end.len();
+                while used < rest.len() && !rest[used..].starts_with(end) {
+                    line += usize::from(rest[used] == b'\n');
+                    used += if rest[used] == b'\\' { 2 } else { 1 };
+                }
+                used = (used + end.len()).min(rest.len());
+            }
+            b'(' | b'[' | b'{' => {
+                open.push(level);
+                level += 1;
             }
+            b')' | b']' | b'}' => level = open.pop().map_or(0, |level| level + 1),
+            b',' => level = open.last().map_or(0, |level| level + 1),
+            b'+' | b'-' | b'*' | b'/' | b'%' | b'|' | b'&' | b'^' | b'~' | b'.' | b'<' | b'>' | b'='
+            | b'!' => level += 1,
+            byte if byte.is_ascii_alphabetic() || byte == b'_' => {
+                let word = |byte: &u8| byte.is_ascii_alphanumeric() || *byte == b'_';
+                used = rest.iter().position(|byte| !word(byte)).unwrap_or(rest.len());
+                match &rest[..used] {
+                    b"not" | b"and" | b"or" | b"in" | b"if" | b"else" | b"for" | b"lambda" => level += 1,
+                    b"elif" => elifs += 1,
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+        if level > DEEPEST || elifs > DEEPEST {
+            return Some(line);
         }
+        at += used;
     }
     None
 }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -66,6 +66,12 @@
 fn what_is_no_script_or_runs_away_is_stopped_and_placed() {
     let deep = format!("x = {}1{}\n", "(".repeat(5000), ")".repeat(5000));
     let long = format!("x = 1{}\n", " + 1".repeat(16_000));
+    let minus = format!("x = {}1\n", "-".repeat(60_000));
+    let calls = format!("x = f{}\n", "()".repeat(30_000));
+    let elifs = format!("def f(n):\n if n:\n  pass\n{}", " elif n:\n  pass\n".repeat(3_000));
+    let within = |open: &str, close: &str, count| {
+        format!("def f(x):\n return {}x{}\n", open.repeat(count), close.repeat(count))
+    };
     let cases: &[(&str, &str, Option<usize>)] = &[
         ("health(\n", "parse error", Some(2)),
         ("\nhelth()\n", "helth", Some(2)),
@@ -82,7 +88,11 @@
         ("load('operator.star', 'x')\n", "loads itself", None),
         ("load('missing.star', 'x')\n", "missing.star", None),
         ("health(http = 7)\n", "http", Some(1)),
-        (&deep, "brackets", Some(1)),
+        (&deep, "go deeper", Some(1)),
+        (&long, "go deeper", Some(1)),
+        (&minus, "go deeper", Some(1)),
+        (&calls, "go deeper", Some(1)),
+        (&elifs, "go deeper", None),
         (&" ".repeat(70_000), "65536", None),
     ];
     for (text, wanted, line) in cases {
@@ -91,11 +101,23 @@
         assert!(shown.contains(&wanted.to_lowercase()), "{wanted:?} is not in {shown:.300}");
         assert!(line.is_none() || fault.at.map(|at| at.0) == *line, "{shown:.300}");
     }
-    // Long, but in bounds: the stack holds it.
+    // As deep as is let through, whichever way: the stack holds it.
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("long.star");
-    std::fs::write(&path, long).expect("written");
-    evaluate(&path).expect("good");
+    let deepest = [
+        within("(", ")", 180),
+        within("-", "", 190),
+        within("[", "]", 180),
+        within("not ", "", 190),
+        within("f(", ")", 180),
+        within("x + (", ")", 90),
+        within("", " + x", 190),
+        format!("x = [{}]\n", "'a', ".repeat(9_000)),
+    ];
+    for text in deepest {
+        std::fs::write(&path, &text).expect("written");
+        evaluate(&path).unwrap_or_else(|fault| panic!("{fault}: {text:.60}"));
+    }
 }
 
 #[test]
