Confine tenants to their cells in the program, and refuse at once what a lost cell can't serve

Need: the cells' decisions were in the library only. Change: with cells(...) in the operator's file, a session's tenant comes from its startup message, network or a trusted comment; its requests go to its own cell's group, whatever cluster the client names, within the cell's bounds; a tenant that is held, a placement that went stale and a shape that kills members are refused before anything is sent, and an attempt of a shape that is shut is not made. A fingerprint is now blamed only if at least as many of its attempts ended in a death as were answered.

--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -1,10 +1,14 @@
 //! Clients: accepting them, their sessions, and the life of each request.
 
 use crate::attempt::{self, End, Stop};
+use crate::cells::{Cells, Placed};
 use crate::core::{Core, Inbox, Order, Orders};
 use crate::net::{spawn, Stream};
 use crate::pg::{self, Malformed, Opening, Severity, Statement};
 use crate::pool::Pool;
+use asterreel::cells::quarantine::Verdict;
+use asterreel::cells::who::{self, Caller};
+use asterreel::cells::{Refusal, LOST};
 use asterreel::health::Room;
 use asterreel::interface::*;
 use asterreel::settings::Setup;
@@ -12,7 +16,7 @@
 use may::net::TcpListener;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tracing::{debug, warn};
@@ -36,6 +40,9 @@
     pub pool: Arc<Pool>,
     classes: Vec<String>,
     needs: Vec<Need>,
+    effects: Vec<Effect>,
+    /// Which tenants may reach which groups, where the operator's file says so.
+    cells: Option<Cells>,
     deadlines: Vec<Micros>,
     most_sessions: usize,
     /// What clients hold for requests at most; one that finds no connection left has nowhere to ask.
@@ -59,12 +66,15 @@
         settings: &Settings,
         most: usize,
         sockets: usize,
+        cells: Option<Cells>,
     ) -> Gateway {
         Gateway {
             core,
             pool,
             classes: setup.profiles.iter().map(|class| class.name.clone()).collect(),
             needs: settings.needs.clone(),
+            effects: settings.classes.iter().map(|class| class.effect).collect(),
+            cells,
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             most_sessions: most,
             most_served: sockets / 3,
@@ -177,7 +187,7 @@
             continue;
         }
         match listener.accept() {
-            Ok((socket, _)) => {
+            Ok((socket, from)) => {
                 let stream = Stream::new(socket, gateway.core.timer.clone());
                 let gateway = gateway.clone();
                 // Registered here, so that the limit counts sessions that have not begun yet.
@@ -186,7 +196,8 @@
                 let mailbox = Arc::new(Mailbox::new(stream.waker(), gateway.core.clock.now(), orders));
                 gateway.sessions(|sessions| sessions.insert(number, mailbox.clone()));
                 spawn(move || {
-                    let mut session = Session { gateway, stream, mailbox, left: false };
+                    let client = Client { address: Some(from.ip()), ..Client::default() };
+                    let mut session = Session { gateway, stream, mailbox, client, left: false };
                     if let Err(end) = session.run() {
                         debug!("session ended: {end:?}");
                     }
@@ -307,11 +318,20 @@
     Malformed,
 }
 
+/// What is known of a client; its words only where cells are on.
+#[derive(Default)]
+struct Client {
+    address: Option<IpAddr>,
+    user: String,
+    application: String,
+}
+
 /// One client connection.
 struct Session {
     gateway: Arc<Gateway>,
     stream: Stream,
     mailbox: Arc<Mailbox>,
+    client: Client,
     left: bool,
 }
 
@@ -320,6 +340,14 @@
         loop {
             match pg::opening(self.stream.buffer.data()) {
                 Ok(Some((opening, length))) => {
+                    if self.gateway.cells.is_some() && opening == Opening::Start {
+                        let message = &self.stream.buffer.data()[..length];
+                        // Longer than any tenant's name is none, and not kept.
+                        let word =
+                            |name| pg::parameter(message, name).filter(|word| word.len() <= who::LONGEST);
+                        self.client.user = word("user").unwrap_or_default().to_owned();
+                        self.client.application = word("application_name").unwrap_or_default().to_owned();
+                    }
                     self.stream.buffer.consume(length);
                     match opening {
                         Opening::Encrypt => self.write(b"N")?,
@@ -458,28 +486,50 @@
             pg::error(out, Severity::Error, "08P01", "a request with this id is open", None);
             return Ok(());
         };
+        let placed = match self.placed(&statement, class) {
+            Ok(placed) => placed,
+            Err(refusal) => {
+                let (text, come_back) = refusal.told();
+                let code = if refusal == Refusal::Nobody { "28000" } else { "53300" };
+                pg::error(out, Severity::Error, code, text, come_back.map(|micros| micros.div_ceil(1000)));
+                return Ok(());
+            }
+        };
         // No client waits longer than its class does: a deadline out of all bounds must not hold room.
         let wait = statement.wait_ms.saturating_mul(1000).min(self.gateway.deadlines[class]);
         let due = received.saturating_add(wait).min(self.gateway.answer_until.load(Ordering::Acquire));
         let overdue = due.saturating_add(OVERDUE);
         let _alarm = core.timer.alarm(overdue, self.stream.waker());
         let statement = Arc::new(statement);
-        let id = core.arrive(self.arrival(&statement, class, due), self.mailbox.clone());
+        let arrival = self.arrival(&statement, class, due, placed.as_ref());
+        let id = core.arrive(arrival, self.mailbox.clone());
         // Attempts by number: where they went, when, and how to call them off.
-        let mut attempts: Vec<(Micros, Arc<Stop>)> = Vec::new();
+        let mut attempts: Vec<(Micros, Arc<Stop>, MemberId)> = Vec::new();
         let (mut out_now, mut owed) = (0u32, true);
+        // Whether an attempt may have run, and the members that died under one.
+        let (mut ran, mut victims) = (false, HashSet::new());
         while owed || out_now > 0 {
             match self.next(owed.then_some(overdue)) {
                 Notice::Order(Order::Send { member, address, until }) => {
                     debug!(request = id.0, class, member = member.0, due, "send");
                     let stop = Arc::new(Stop::at(until));
                     let number = AttemptNo(attempts.len() as u32);
-                    attempts.push((core.clock.now(), stop.clone()));
+                    attempts.push((core.clock.now(), stop.clone(), member));
+                    let shut =
+                        |placed: &Placed| placed.attempt(self.gateway.effects[class], ran, victims.len());
+                    let verdict = placed.as_ref().map_or(Verdict::Go, shut);
+                    if owed && verdict != Verdict::Go {
+                        owed = false;
+                        let code = if verdict == Verdict::Refuse { "53300" } else { "58000" };
+                        pg::error(out, Severity::Error, code, "this statement is quarantined", None);
+                        core.ended(never_sent(id, number));
+                        continue;
+                    }
                     out_now += 1;
                     self.attempt((id, number), (member, address), statement.clone(), stop);
                 }
                 Notice::Order(Order::Cancel(number)) => {
-                    if let Some((_, stop)) = attempts.get(number.0 as usize) {
+                    if let Some((_, stop, _)) = attempts.get(number.0 as usize) {
                         stop.call_off();
                     }
                 }
@@ -497,7 +547,16 @@
                     out_now -= 1;
                     let served = end.outcome == Outcome::Served;
                     let finished = served || !owed;
-                    let sent = attempts.get(attempt.0 as usize).map_or(received, |(sent, _)| *sent);
+                    let made = attempts.get(attempt.0 as usize);
+                    let (sent, member) = made.map_or((received, None), |made| (made.0, Some(made.2)));
+                    ran |= matches!(
+                        end.outcome,
+                        Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
+                    );
+                    if let (Some(placed), Some(member)) = (&placed, member) {
+                        placed.attempted(member, end.outcome);
+                        victims.extend((end.outcome == Outcome::Reset).then_some(member));
+                    }
                     if served && owed {
                         owed = false;
                         out.extend_from_slice(&end.rows);
@@ -574,10 +633,29 @@
         });
     }
 
-    fn arrival(&self, statement: &Statement, class: usize, due: Micros) -> Arrival {
+    /// Where a request's tenant lives, with a place in its cell; nothing where cells are off.
+    fn placed(&self, statement: &Statement, class: usize) -> Result<Option<Placed>, Refusal> {
+        let Some(cells) = &self.gateway.cells else { return Ok(None) };
+        let comment = if cells.by_statement { statement.comment() } else { Vec::new() };
+        let Client { address, user, application } = &self.client;
+        let caller = Caller { user, application, address: *address, comment: &comment };
+        let write = self.gateway.needs[class] == Need::Write;
+        let placed = cells.admit(&caller, (statement.cluster, &statement.key), statement.text(), write)?;
+        // It would wait in vain: nothing of another cell may serve it.
+        if self.gateway.core.lost(placed.admitted.group) {
+            return Err(Refusal::Lost(LOST));
+        }
+        Ok(Some(placed))
+    }
+
+    fn arrival(&self, statement: &Statement, class: usize, due: Micros, placed: Option<&Placed>) -> Arrival {
         let now = self.gateway.core.clock.now();
         let in_session = matches!(self.gateway.needs[class], Need::Write | Need::Session);
         let after = statement.after.map(|after| after.saturating_mul(1000));
+        let since_write = after.filter(|after| *after > 0).map(|after| now.saturating_sub(after));
+        // Just moved: replicas of the new home may lack what the session wrote in the old one.
+        let settling =
+            self.gateway.needs[class] == Need::Session && placed.is_some_and(|p| p.admitted.settling);
         Arrival {
             request: RequestId(0),
             class: ClassId(class),
@@ -585,12 +663,25 @@
             session: in_session.then(|| session_id(&statement.key)),
             due,
             estimate: None,
-            group: GroupId(statement.cluster),
-            since_write: after.filter(|after| *after > 0).map(|after| now.saturating_sub(after)),
+            group: placed.map_or(GroupId(statement.cluster), |placed| placed.admitted.group),
+            since_write: if settling { Some(0) } else { since_write },
         }
     }
 }
 
+/// How an attempt ended that was ordered and never begun, with its request.
+fn never_sent(request: RequestId, attempt: AttemptNo) -> Ended {
+    Ended {
+        request,
+        attempt,
+        outcome: Outcome::Moot,
+        latency: 0,
+        note: Note::default(),
+        report: Note::default(),
+        standing: Standing::Finished,
+    }
+}
+
 fn session_id(key: &[u8]) -> SessionId {
     let mut hasher = DefaultHasher::new();
     key.hash(&mut hasher);
--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -127,6 +127,11 @@
         Some(state.observer.as_mut().map_or_else(Report::default, |observer| observer.report(now)))
     }
 
+    /// Whether a group has lost all its members, where an observer looks on.
+    pub fn lost(&self, group: GroupId) -> bool {
+        self.with(|state| state.observer.as_ref().is_some_and(|observer| observer.lost(group)))
+    }
+
     /// Takes the lock and gives it back: whoever gets through here shows that requests could.
     pub fn pass_through(&self) {
         self.with(|_| ());
--- a/src/bin/asterreel/health/tests.rs
+++ b/src/bin/asterreel/health/tests.rs
@@ -32,7 +32,7 @@
     // Free a moment ago; nothing else of this machine picks an address of its own there.
     let port = || TcpListener::bind("127.83.7.1:0").and_then(|one| one.local_addr()).expect("a port");
     let (client, front) = (port(), port());
-    let gateway = Arc::new(Gateway::new(core.clone(), pool, &config.setup, &config.settings, 64, 256));
+    let gateway = Arc::new(Gateway::new(core.clone(), pool, &config.setup, &config.settings, 64, 256, None));
     let listener = may::net::TcpListener::bind(client).expect("bound");
     let accepting = gateway.clone();
     crate::net::spawn(move || crate::client::accept(&accepting, &listener));
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 mod attempt;
+mod cells;
 mod cli;
 mod client;
 mod clock;
@@ -17,6 +18,7 @@
 mod probe;
 mod timer;
 
+use crate::cells::Cells;
 use crate::cli::{Cli, Command, Files, LogFormat};
 use crate::client::Gateway;
 use crate::clock::Clock;
@@ -97,7 +99,7 @@
     let asked = evaluated.operator.health;
     let source = Arc::new(Source::new(config.discovery, watches.clone()));
     let core = Arc::new(Core::new(&config, clock, timer.clone(), probes, watches)?);
-    if asked.is_some() {
+    if asked.is_some() || evaluated.operator.cells.is_some() {
         core.observe(&config.settings);
     }
     let allowed = &config.setup.allowed;
@@ -127,7 +129,8 @@
     let watch = move || discovery::run(&watching, &watched, revision, &watches_asked);
     net::spawn_with_stack(net::JSON_STACK_WORDS, watch)?;
 
-    let gateway = Gateway::new(core, pool, &config.setup, &config.settings, clients, config.sockets);
+    let cells = evaluated.operator.cells.as_ref().map(|cells| Cells::start(cells, clock)).transpose()?;
+    let gateway = Gateway::new(core, pool, &config.setup, &config.settings, clients, config.sockets, cells);
     let gateway = Arc::new(gateway);
     let listener =
         TcpListener::bind(config.listen).map_err(|error| format!("listen: {}: {error}", config.listen))?;
--- a/src/bin/asterreel/pg.rs
+++ b/src/bin/asterreel/pg.rs
@@ -63,6 +63,19 @@
     }
 }
 
+/// A parameter of a startup message, by its name; nothing where it is not there or no text.
+pub fn parameter<'a>(message: &'a [u8], name: &str) -> Option<&'a str> {
+    let mut rest = message.get(8..)?;
+    while let Some((key, after)) = text(rest).filter(|(key, _)| !key.is_empty()) {
+        let (value, after) = text(after)?;
+        if key == name.as_bytes() {
+            return std::str::from_utf8(value).ok();
+        }
+        rest = after;
+    }
+    None
+}
+
 /// A text up to its closing zero byte, and what follows.
 fn text(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
     let end = bytes.iter().position(|byte| *byte == 0)?;
@@ -140,6 +153,20 @@
         })
     }
 
+    /// The statement as the client sent it.
+    pub fn text(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Names and values of the comment, as far as they are text.
+    pub fn comment(&self) -> Vec<(&str, &str)> {
+        let text = std::str::from_utf8(&self.bytes).unwrap_or_default();
+        let comment =
+            text.rsplit_once("/*").and_then(|(_, rest)| rest.rsplit_once("*/")).map_or("", |part| part.0);
+        let pairs = comment.split(',').filter_map(|pair| pair.split_once('='));
+        pairs.map(|(name, value)| (name.trim(), value.trim())).collect()
+    }
+
     /// The query message that passes the statement on; only `d` is changed, to how long will be waited.
     pub fn forward(&self, wait_ms: u64) -> Vec<u8> {
         let wait = wait_ms.to_string();
@@ -402,6 +429,19 @@
         Ok(used)
     }
 
+    #[test]
+    fn parameters_of_a_startup_message_are_found_and_garbage_is_none() {
+        let bytes = startup();
+        assert_eq!((parameter(&bytes, "user"), parameter(&bytes, "database")), (Some("web"), Some("orders")));
+        assert_eq!((parameter(&bytes, "web"), parameter(&bytes, "application_name")), (None, None));
+        fuzz::garbage(&bytes, |bytes| {
+            assert!(parameter(bytes, "user").is_none_or(|value| value.len() < bytes.len()));
+        });
+        let statement = Statement::parse(READ).expect("valid");
+        assert_eq!(statement.comment()[0], ("id", "9b"));
+        assert_eq!(statement.text(), READ);
+    }
+
     #[test]
     fn an_answer_is_the_same_however_it_is_cut_and_never_whole_before_its_end() {
         let bytes = row();
--- a/src/cells/mod.rs
+++ b/src/cells/mod.rs
@@ -7,12 +7,15 @@
 //! `docs/design/cells.md` says why it decides as it does.
 
 pub mod bulkhead;
+mod gate;
 pub mod moves;
 pub mod placement;
 pub mod quarantine;
 pub mod record;
 pub mod who;
 
+pub use gate::{Admitted, Gate, Refusal, Rules, LOST};
+
 use serde::{Deserialize, Serialize};
 
 /// A cell, by its place in the operator's list.
--- a/src/cells/quarantine.rs
+++ b/src/cells/quarantine.rs
@@ -69,6 +69,9 @@
 struct Suspect {
     /// Members that died or hung after it, and when.
     victims: Vec<(MemberId, Micros)>,
+    /// Attempts that ended so, and those that were answered, since the first victim.
+    died: u32,
+    answered: u32,
     until: Micros,
     times: u32,
     last: Micros,
@@ -109,7 +112,9 @@
         }
     }
 
-    /// An attempt has ended. An answer clears nobody: poison may take its time, and others ask the same.
+    /// An attempt has ended. Whatever is in flight when a member dies ends with it: a shape that is asked often meets
+    /// many deaths that are not its own. So a suspect is shut only if at least as many of its attempts ended so, since
+    /// the first, as were answered.
     pub fn ended(
         &mut self,
         now: Micros,
@@ -118,15 +123,23 @@
         after: Aftermath,
     ) {
         if after == Aftermath::Answered {
+            let answered = |suspect: &mut Suspect| suspect.answered = suspect.answered.saturating_add(1);
+            self.shapes.entry(shape).and_modify(answered);
+            self.tenants.entry(tenant).and_modify(answered);
             return;
         }
         let knobs = self.knobs;
         let (window, lasts) = (knobs.window_ms * 1000, knobs.lasts_ms * 1000);
         let hurt = |suspect: &mut Suspect, most: usize| {
             suspect.victims.retain(|(other, at)| *other != member && now.saturating_sub(*at) < window);
+            if suspect.victims.is_empty() {
+                (suspect.died, suspect.answered) = (0, 0);
+            }
             suspect.victims.push((member, now));
+            suspect.died = suspect.died.saturating_add(1);
             suspect.last = now;
-            if suspect.victims.len() >= most && suspect.until <= now {
+            let own = suspect.died >= suspect.answered;
+            if own && suspect.victims.len() >= most && suspect.until <= now {
                 suspect.until = now.saturating_add(lasts << suspect.times.min(4));
                 suspect.times += 1;
                 suspect.victims.clear();
--- a/src/health/observer.rs
+++ b/src/health/observer.rs
@@ -264,6 +264,12 @@
         }
     }
 
+    /// Whether a group has lost all its members: each has failed, or none is listed. One that was not heard from yet is
+    /// not lost.
+    pub fn lost(&self, group: GroupId) -> bool {
+        self.members.values().filter(|member| member.group == group).all(|member| member.failed)
+    }
+
     /// What is seen now.
     pub fn report(&mut self, now: Micros) -> Report {
         let mut members: BTreeMap<GroupId, (u32, u32)> = BTreeMap::new();
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,13 +1,13 @@
 //! The operator's file: a Starlark script that is evaluated once into plain checked types, then dropped.
 //!
-//! It calls `health(...)` and the functions that make its parts; everything it leaves out is off. Evaluation has no
+//! It calls `health(...)`, `cells(...)` and the functions that make their parts; everything it leaves out is off. Evaluation has no
 //! effect but its result: no files beside those that it loads from its own folder, no clock, no network, and bounds on
 //! steps, heap, call depth and time. Every error names the file, line, column and key. Files are read here, through
 //! the path that the caller gives, because a script may load others.
 
 mod settings;
 
-pub use settings::{Agent, Health, Listener, Operator};
+pub use settings::{Agent, CellBounds, Cells, Health, Listener, Operator};
 
 use crate::config::Config;
 use crate::health::drain::{Balancer, Drain, Timetable};
@@ -158,6 +158,7 @@
 #[derive(Default)]
 struct Collected {
     health: Option<(Health, Place)>,
+    cells: Option<(Cells, Place)>,
     /// The first fault that one of our functions found: an error of the evaluation would lose the key.
     fault: Option<BadFile>,
 }
@@ -187,6 +188,11 @@
         evaluated.operator.health = Some(health);
         evaluated.health_at = Some(place);
     }
+    if let Some((mut cells, place)) = collected.cells {
+        cells.rules().map_err(|(key, fault)| place.bad(&format!("cells.{key}"), &fault))?;
+        cells.placement = folder.join(&cells.placement);
+        evaluated.operator.cells = Some(cells);
+    }
     Ok(evaluated)
 }
 
@@ -389,6 +395,17 @@
     Ok(heap.alloc(Json::Object(map)))
 }
 
+/// Keeps what is set once; set twice, it is a fault that names both places.
+fn once<T>(what: &str, value: T, place: Place, slot: impl Fn(&mut Collected) -> &mut Option<(T, Place)>) {
+    COLLECTED.with_borrow_mut(|collected| match slot(collected) {
+        empty @ None => *empty = Some((value, place)),
+        Some((_, first)) => {
+            let fault = place.bad(what, &format!("is set already, at {}:{}", first.file, first.line));
+            collected.fault.get_or_insert(fault);
+        }
+    });
+}
+
 #[starlark_module]
 fn functions(builder: &mut GlobalsBuilder) {
     /// Where a front listens.
@@ -437,13 +454,33 @@
         eval: &mut Evaluator<'v, '_, '_>,
     ) -> anyhow::Result<Value<'v>> {
         let (health, _, place) = checked::<Health>("health", &arguments, eval)?;
-        COLLECTED.with_borrow_mut(|collected| match &collected.health {
-            None => collected.health = Some((health, place)),
-            Some((_, first)) => {
-                let fault = format!("is set already, at {}:{}", first.file, first.line);
-                collected.fault.get_or_insert(place.bad("health", &fault));
-            }
-        });
+        once("health", health, place, |collected| &mut collected.health);
+        Ok(Value::new_none())
+    }
+
+    /// What a cell may hold.
+    fn bounds<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        part::<CellBounds>("bounds", &arguments, eval)
+    }
+
+    /// What is poison.
+    fn quarantine<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        part::<crate::cells::quarantine::Knobs>("quarantine", &arguments, eval)
+    }
+
+    /// Cells; called once at most.
+    fn cells<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        let (cells, _, place) = checked::<Cells>("cells", &arguments, eval)?;
+        once("cells", cells, place, |collected| &mut collected.cells);
         Ok(Value::new_none())
     }
 }
--- a/src/operator/settings.rs
+++ b/src/operator/settings.rs
@@ -1,18 +1,100 @@
 //! The types that an operator's file is checked into.
 
+use crate::cells::bulkhead::Bounds;
+use crate::cells::who::{Source, Who};
+use crate::cells::{quarantine, Rules};
 use crate::config::Config;
 use crate::health::drain::{Balancer, Drain, Hearing, Timetable};
 use crate::health::knobs::within;
 use crate::health::Knobs;
 use ipnet::IpNet;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// All that an operator's file sets; everything is off unless it is there.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
     /// Health for balancers.
     pub health: Option<Health>,
+    /// Cells.
+    pub cells: Option<Cells>,
+}
+
+/// What a cell may hold of this gateway, as far as it is enforced; 0 is no bound.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CellBounds {
+    /// Requests that are open.
+    pub requests: u32,
+    /// Bytes of their statements.
+    pub bytes: u64,
+}
+
+/// Cells: which tenants may reach which groups.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cells {
+    /// The published placement; relative to the operator's file.
+    pub placement: PathBuf,
+    /// Who asks: the first that knows.
+    pub who: Vec<Source>,
+    /// Bounds by cell's name.
+    #[serde(default)]
+    pub bounds: BTreeMap<String, CellBounds>,
+    /// Bounds of the others.
+    #[serde(default)]
+    pub default_bounds: CellBounds,
+    /// Poison.
+    #[serde(default)]
+    pub quarantine: quarantine::Knobs,
+    /// Time between two looks at the placement, milliseconds; 50 to 60000, default 500.
+    #[serde(default = "reread")]
+    pub reread_ms: u64,
+    /// How long writes may go by a placement that can't be looked at, milliseconds; default 5000.
+    #[serde(default = "lease")]
+    pub lease_ms: u64,
+}
+
+fn reread() -> u64 {
+    500
+}
+
+fn lease() -> u64 {
+    5_000
+}
+
+impl Cells {
+    /// Checks it, and puts it in the words of [`crate::cells`].
+    pub fn rules(&self) -> Result<Rules, (String, String)> {
+        let owned = |(key, fault): (&str, String)| (key.to_owned(), fault);
+        if self.who.is_empty() {
+            return Err(("who".into(), "names no source: nobody could ask".into()));
+        }
+        if self.placement.as_os_str().is_empty() {
+            return Err(("placement".into(), "names no file".into()));
+        }
+        within("reread_ms", self.reread_ms, 50, 60_000).map_err(owned)?;
+        within("lease_ms", self.lease_ms, 2 * self.reread_ms, 600_000).map_err(owned)?;
+        let knobs = &self.quarantine;
+        within("quarantine.members", knobs.members as u64, 1, 16).map_err(owned)?;
+        within("quarantine.tenant_members", knobs.tenant_members as u64, 1, 64).map_err(owned)?;
+        within("quarantine.window_ms", knobs.window_ms, 1_000, 3_600_000).map_err(owned)?;
+        within("quarantine.lasts_ms", knobs.lasts_ms, 1_000, 86_400_000).map_err(owned)?;
+        within("quarantine.entries", knobs.entries as u64, 16, 65_536).map_err(owned)?;
+        let bounds = |bounds: &CellBounds| Bounds {
+            requests: bounds.requests,
+            bytes: bounds.bytes,
+            ..Bounds::default()
+        };
+        Ok(Rules {
+            who: Who::new(self.who.clone())?,
+            bounds: self.bounds.iter().map(|(name, own)| (name.clone(), bounds(own))).collect(),
+            default_bounds: bounds(&self.default_bounds),
+            quarantine: self.quarantine,
+        })
+    }
 }
 
 /// A front that listens.
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -389,3 +389,18 @@
     assert!(holder.may_acknowledge(now + 3 * S, "one", &held));
     assert!(!holder.may_acknowledge(now, "one", &place), "it is not held");
 }
+
+#[test]
+fn a_shape_that_is_asked_often_is_not_blamed_for_the_deaths_that_it_meets() {
+    let mut quarantine = Quarantine::new(Knobs::default());
+    let (now, whose) = (100 * S, (1, fingerprint("one", b"SELECT everyday")));
+    for death in 0..6 {
+        quarantine.ended(now, whose, MemberId(death), Aftermath::Died);
+        for _ in 0..100 {
+            quarantine.ended(now, whose, MemberId(9), Aftermath::Answered);
+        }
+        let verdict = quarantine.admit(now, whose, Effect::Safe, false, 0);
+        // The second death of two in a row would shut it; with answers between them it is nobody's doing.
+        assert_eq!(verdict, Verdict::Go, "after {death}");
+    }
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -62,6 +62,36 @@
     }
 }
 
+#[test]
+fn each_wrong_word_about_cells_is_rejected_with_its_key() {
+    let good = "cells(placement = 'p', who = ['user', {'network': [['10.0.0.0/8', 'x']]}], bounds = {'one': bounds(requests = 9)})\n";
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("operator.star");
+    std::fs::write(&path, good).expect("written");
+    let cells = evaluate(&path).expect("good").operator.cells.expect("set");
+    assert_eq!(cells.placement, folder.path().join("p"));
+    let cases = [
+        ("cells(who = ['user'])", "cells.placement"),
+        ("cells(placement = '', who = ['user'])", "cells.placement"),
+        ("cells(placement = 'p', who = [])", "cells.who"),
+        ("cells(placement = 'p', who = ['usr'])", "cells.who[0]"),
+        ("cells(placement = 'p', who = ['user', 'user'])", "cells.who[1]"),
+        ("cells(placement = 'p', who = ['user'], reread_ms = 1)", "cells.reread_ms"),
+        ("cells(placement = 'p', who = ['user'], lease_ms = 600)", "cells.lease_ms"),
+        ("cells(placement = 'p', who = ['user'], bounds = {'one': bounds(sessions = 1)})", "bounds.sessions"),
+        (
+            "cells(placement = 'p', who = ['user'], quarantine = quarantine(members = 0))",
+            "cells.quarantine.members",
+        ),
+        ("cells(placement = 'p', who = ['user'], quarantin = 1)", "cells.quarantin"),
+        ("cells(placement = 'p', who = ['user'])\ncells(placement = 'p', who = ['user'])", "cells"),
+    ];
+    for (text, key) in cases {
+        let fault = fault(text);
+        assert_eq!(fault.key.as_deref(), Some(key), "{fault}");
+    }
+}
+
 #[test]
 fn what_is_no_script_or_runs_away_is_stopped_and_placed() {
     let deep = format!("x = {}1{}\n", "(".repeat(5000), ")".repeat(5000));
