Publish placements, measure how far a poisoned tenant reaches, and blame known shapes later

Need: operators had no way to make the file that gateways read, and the claim of confinement wants a poisoned tenant. Change: asterreel cells plan, publish (written whole, epochs only forward) and where; the rig's databases die of a statement, and its load has tenants; a shape that was answered before is shut only after twice as many deaths. Two tests wrote a script and ran it, which fails now and then while another thread starts a process; the rig hands the shell its text instead.

--- a/examples/operator.star
+++ b/examples/operator.star
@@ -13,3 +13,12 @@
     balancer = balancer(interval_ms = 250, fall = 2, timeout_ms = 250),
     knobs = knobs(floor = 10, start_wait_ms = 3000),
 )
+
+# Cells: `asterreel cells publish examples/placement.json /tmp/placement`, then
+#
+# cells(
+#     placement = "/tmp/placement",
+#     who = ["user", {"network": [["10.1.0.0/16", "alpine-club"]]}],
+#     bounds = {"alpine": bounds(requests = 100)},
+#     quarantine = quarantine(members = 2),
+# )
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -42,6 +42,7 @@
     members: Vec<Member>,
     revision: u64,
     taken: Vec<Taken>,
+    deaths: Vec<(usize, u64)>,
 }
 
 /// What a fleet is made of.
@@ -112,7 +113,7 @@
             cut: HashSet::new(),
         };
         let members = (0..shape.groups * shape.members).map(member).collect();
-        let state = Mutex::new(State { members, revision: 1, taken: Vec::new() });
+        let state = Mutex::new(State { members, revision: 1, taken: Vec::new(), deaths: Vec::new() });
         let fleet = Arc::new(Fleet { shape, state, changed: Condvar::new(), addresses, discoveries });
         for (gateway, doors) in doors.into_iter().enumerate() {
             for (number, door) in doors.into_iter().enumerate() {
@@ -198,6 +199,12 @@
 
     fn reply(&self, gateway: usize, number: usize, statement: &[u8]) -> Reply {
         let write = statement.starts_with(b"INSERT");
+        // A statement that kills whoever runs it.
+        if statement.windows(6).any(|word| word == b"poison") {
+            self.crash(number);
+            self.lock().deaths.push((number, now()));
+            return Reply::Last(Vec::new());
+        }
         let mut state = self.lock();
         let member = &mut state.members[number];
         if !member.alive || member.cut.contains(&gateway) {
@@ -297,6 +304,22 @@
         }
     }
 
+    /// Databases that died of a statement, and when; each is started again by whoever asks after this long.
+    pub fn revive(&self, after: Duration) -> usize {
+        let due = now().saturating_sub(after.as_micros() as u64);
+        let dead: Vec<usize> = {
+            let state = self.lock();
+            let dead = state.deaths.iter().filter(|(number, at)| *at <= due && !state.members[*number].alive);
+            dead.map(|(number, _)| *number).collect()
+        };
+        for number in &dead {
+            let role = self.lock().members[*number].role;
+            self.restart(*number);
+            self.lock().members[*number].role = role;
+        }
+        self.lock().deaths.len()
+    }
+
     /// All writes that were taken.
     pub fn taken(&self) -> Vec<Taken> {
         self.lock().taken.clone()
--- a/rig/src/gateway.rs
+++ b/rig/src/gateway.rs
@@ -18,6 +18,8 @@
 pub struct Plan {
     /// The program.
     pub program: PathBuf,
+    /// What a shell does before it becomes the program: limits, variables.
+    pub before: Option<String>,
     /// Where clients connect, agent-check, HTTP.
     pub client: SocketAddr,
     /// See `client`.
@@ -90,7 +92,15 @@
         });
         let path = files.path().join("config.json");
         std::fs::write(&path, config.to_string())?;
-        let mut command = Command::new(&plan.program);
+        let mut command = match &plan.before {
+            // No script of its own: one just written can't always be run while other threads start processes.
+            Some(text) => {
+                let mut shell = Command::new("/bin/sh");
+                shell.arg("-c").arg(format!("{text}; exec \"$0\" \"$@\"")).arg(&plan.program);
+                shell
+            }
+            None => Command::new(&plan.program),
+        };
         command.env("RELAY_CONFIG", &path).env_remove("RELAY_LISTEN").env_remove("RELAY_DISCOVERY");
         command.env("RELAY_LOG", "info").args(["run", "--log-format", "json"]);
         if plan.health {
--- a/rig/src/health.rs
+++ b/rig/src/health.rs
@@ -39,7 +39,7 @@
 
 /// Between a gateway's exit and its next start.
 const RELEASE: Duration = Duration::from_secs(2);
-const PATIENCE: Duration = Duration::from_secs(20);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 /// Gateways that the changes are measured on at once.
 const LANES: usize = 10;
 
@@ -54,10 +54,17 @@
     }
 }
 
-fn plan(setting: &Setting, fleet: &Fleet, gateway: usize, health: bool, extra: &str) -> anyhow::Result<Plan> {
+pub fn plan(
+    setting: &Setting,
+    fleet: &Fleet,
+    gateway: usize,
+    health: bool,
+    extra: &str,
+) -> anyhow::Result<Plan> {
     let places = free(3)?;
     Ok(Plan {
         program: setting.program.clone(),
+        before: None,
         client: places[0],
         agent: places[1],
         http: places[2],
@@ -71,7 +78,7 @@
 }
 
 /// The first change of a server from an index on that satisfies this.
-fn recorded(
+pub fn recorded(
     balancer: &Balancer,
     server: usize,
     from: usize,
@@ -385,6 +392,9 @@
         span: Duration::from_secs(30),
         clients: 96,
         seed: setting.seed,
+        tenants: 0,
+        clusters: 1,
+        poison: None,
     };
     let (mut rows, mut lines) = (Vec::new(), Vec::new());
     for (arm, front) in [
@@ -446,6 +456,9 @@
         span: Duration::from_secs(25),
         clients: 192,
         seed: setting.seed,
+        tenants: 0,
+        clusters: 1,
+        poison: None,
     };
     for (name, title, fault) in [
         ("health-cut", "One of three gateways is cut off from the primary, 5 s to 15 s", Trouble::Cut),
@@ -512,6 +525,9 @@
         span: Duration::from_secs(8),
         clients: 48,
         seed: setting.seed,
+        tenants: 0,
+        clusters: 1,
+        poison: None,
     };
     for (arm, health, checks) in [
         ("off", false, 0),
--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -22,6 +22,12 @@
     pub clients: usize,
     /// Of the schedule.
     pub seed: u64,
+    /// Clients name a user of their own, by their number, and any of so many clusters; 0 is one user and one cluster.
+    pub tenants: usize,
+    /// See `tenants`.
+    pub clusters: u64,
+    /// This tenant's reads are poison.
+    pub poison: Option<usize>,
 }
 
 /// How a request ended.
@@ -54,6 +60,8 @@
     pub gateway: Option<usize>,
     /// It changes data.
     pub write: bool,
+    /// Whose it was.
+    pub tenant: usize,
     /// Its end, and how long that took in microseconds.
     pub fate: Fate,
     /// See `fate`.
@@ -91,16 +99,19 @@
     let mut random = fastrand::Rng::with_seed(shape.seed);
     let (mut at, end) = (0.0, shape.span.as_secs_f64());
     let begin = now() + 50_000;
-    let mut due = VecDeque::new();
+    // Whose a request is belongs to the schedule, not to whichever client is free.
+    let mut due: Vec<VecDeque<(u64, bool, u64)>> = vec![VecDeque::new(); shape.tenants.max(1)];
     while at < end {
         at += -(1.0 - random.f64()).ln() / shape.rate;
-        due.push_back((begin + (at * 1e6) as u64, random.f64() < shape.writes, random.u64(..)));
+        let (write, id) = (random.f64() < shape.writes, random.u64(..));
+        let tenant = (id >> 32) as usize % due.len();
+        due[tenant].push_back((begin + (at * 1e6) as u64, write, id));
     }
-    let due = Arc::new(Mutex::new(due));
+    let due: Arc<Vec<Due>> = Arc::new(due.into_iter().map(Mutex::new).collect());
     let clients: Vec<_> = (0..shape.clients)
-        .map(|_| {
+        .map(|number| {
             let (due, balancer, gateways) = (due.clone(), balancer.clone(), gateways.to_vec());
-            thread::spawn(move || client(&due, &balancer, &gateways))
+            thread::spawn(move || client(&due, &balancer, &gateways, shape, number))
         })
         .collect();
     let mut records: Vec<Record> =
@@ -111,20 +122,31 @@
 
 type Due = Mutex<VecDeque<(u64, bool, u64)>>;
 
-fn client(due: &Due, balancer: &Balancer, gateways: &[SocketAddr]) -> Vec<Record> {
+fn client(
+    due: &[Due],
+    balancer: &Balancer,
+    gateways: &[SocketAddr],
+    shape: Shape,
+    number: usize,
+) -> Vec<Record> {
+    let tenant = number % shape.tenants.max(1);
     let mut open: Vec<Option<TcpStream>> = gateways.iter().map(|_| None).collect();
     let mut records = Vec::new();
     loop {
-        let next = due.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
+        let next = due[tenant].lock().unwrap_or_else(PoisonError::into_inner).pop_front();
         let Some((at, write, id)) = next else { return records };
         thread::sleep(Duration::from_micros(at.saturating_sub(now())));
+        let cluster = id % shape.clusters.max(1);
+        let poison = shape.poison == Some(tenant) && !write;
+        let who = if shape.tenants > 0 { format!("tenant-{tenant}") } else { "web".to_owned() };
         let id = format!("{id:016x}");
+        let statement = statement(&id, write, cluster, poison);
         let sent = now();
-        let (gateway, fate) = request(&mut open, balancer, gateways, &id, write);
+        let (gateway, fate) = request(&mut open, balancer, gateways, &who, &statement);
         let took = now().saturating_sub(at);
         let aim = if write { 1_000_000 } else { 300_000 };
         let fate = if fate == Fate::Served && took > aim { Fate::Late } else { fate };
-        records.push(Record { id, due: at, sent, gateway, write, fate, took });
+        records.push(Record { id, due: at, sent, gateway, write, tenant, fate, took });
     }
 }
 
@@ -133,17 +155,17 @@
     open: &mut [Option<TcpStream>],
     balancer: &Balancer,
     gateways: &[SocketAddr],
-    id: &str,
-    write: bool,
+    who: &str,
+    statement: &str,
 ) -> (Option<usize>, Fate) {
     for again in [false, true] {
         let Some(gateway) = balancer.pick() else { return (None, Fate::NoGateway) };
         // The second time on a connection of its own: another that was kept may be closing as well.
         let kept = open[gateway].take().filter(|_| !again);
         let used_before = kept.is_some();
-        let stream = kept.map_or_else(|| connect(gateways[gateway]), Ok);
+        let stream = kept.map_or_else(|| connect(gateways[gateway], who), Ok);
         let Ok(mut stream) = stream else { return (Some(gateway), Fate::NoGateway) };
-        match ask(&mut stream, id, write) {
+        match ask(&mut stream, statement) {
             Ok((fate, keep)) => {
                 open[gateway] = keep.then_some(stream);
                 return (Some(gateway), fate);
@@ -155,24 +177,30 @@
     (None, Fate::Lost)
 }
 
-fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+fn connect(address: SocketAddr, who: &str) -> io::Result<TcpStream> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_millis(3_500)))?;
-    let words = b"user\0web\0database\0orders\0\0";
+    let words = format!("user\0{who}\0database\0orders\0\0");
     let length = (words.len() as u32 + 8).to_be_bytes();
-    stream.write_all(&[&length[..], &[0, 3, 0, 0], words].concat())?;
+    stream.write_all(&[&length[..], &[0, 3, 0, 0], words.as_bytes()].concat())?;
     answer(&mut stream).map_err(|_| io::ErrorKind::UnexpectedEof)?;
     Ok(stream)
 }
 
+fn statement(id: &str, write: bool, cluster: u64, poison: bool) -> String {
+    let column = if poison { "poison" } else { "payload" };
+    if write {
+        let text = "INSERT INTO entries (ref, payload) VALUES";
+        return format!(
+            "{text} ('{id}', '\\x01') RETURNING payload /* id={id},c=booking,d=3000,cluster={cluster} */"
+        );
+    }
+    format!("SELECT {column} FROM entries WHERE ref = '{id}' /* id={id},c=search,d=1200,cluster={cluster} */")
+}
+
 /// Sends a request and reads its end; an error says whether the connection ended before anything came of it.
-fn ask(stream: &mut TcpStream, id: &str, write: bool) -> Result<(Fate, bool), bool> {
-    let statement = if write {
-        format!("INSERT INTO entries (ref, payload) VALUES ('{id}', '\\x01') RETURNING payload /* id={id},c=booking,d=3000,cluster=0 */")
-    } else {
-        format!("SELECT payload FROM entries WHERE ref = '{id}' /* id={id},c=search,d=1200,cluster=0 */")
-    };
+fn ask(stream: &mut TcpStream, statement: &str) -> Result<(Fate, bool), bool> {
     let query = database::message(b'Q', &[statement.as_bytes(), b"\0"].concat());
     stream.write_all(&query).map_err(|_| true)?;
     answer(stream)
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,6 +1,7 @@
 //! Experiments with real gateways in front of stand-ins; each writes a table (CSV) and, where it has one, a chart.
 #![forbid(unsafe_code)]
 
+mod cells;
 mod health;
 
 use clap::{Parser, Subcommand};
@@ -18,6 +19,8 @@
 enum Command {
     /// What balancers learn of gateways, and what that is worth
     Health(Health),
+    /// How far a poisoned tenant reaches, with cells and without
+    Cells(Common),
 }
 
 #[derive(clap::Args)]
@@ -25,12 +28,18 @@
     /// Which experiment
     #[arg(value_enum)]
     experiment: health::Experiment,
-    /// Of the load's schedule
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
+    #[command(flatten)]
+    common: Common,
     /// How many rounds, for `changes`
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u32).range(1..=1000))]
     rounds: u32,
+}
+
+#[derive(clap::Args)]
+struct Common {
+    /// Of the load's schedule
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
     /// The gateway's program
     #[arg(long, default_value = "target/release/asterreel")]
     program: PathBuf,
@@ -40,8 +49,14 @@
 }
 
 fn main() -> anyhow::Result<()> {
-    let Command::Health(asked) = Cli::parse().command;
-    std::fs::create_dir_all(&asked.out)?;
-    let setting = health::Setting { seed: asked.seed, program: asked.program, out: asked.out };
-    asked.experiment.play(&setting, asked.rounds)
+    let (common, health) = match Cli::parse().command {
+        Command::Health(Health { experiment, common, rounds }) => (common, Some((experiment, rounds))),
+        Command::Cells(common) => (common, None),
+    };
+    std::fs::create_dir_all(&common.out)?;
+    let setting = health::Setting { seed: common.seed, program: common.program, out: common.out };
+    match health {
+        Some((experiment, rounds)) => experiment.play(&setting, rounds),
+        None => cells::blast(&setting),
+    }
 }
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -67,6 +67,7 @@
     let done = match cli.command.unwrap_or(Command::Run(Files::default())) {
         Command::Run(files) => run(&files),
         Command::Check(files) => cli::check(&files),
+        Command::Cells(command) => cli::cells(&command),
         Command::Probe(probe) => return cli::probe(&probe),
         Command::Health(health) => return cli::health(&health),
     };
@@ -142,7 +143,8 @@
     };
     info!(name = config.name, listen = %config.listen, "serving");
 
-    let mut running = Running { config, files, source: &source, health, table };
+    let cells = evaluated.operator.cells;
+    let mut running = Running { config, files, source: &source, health, cells, table };
     while signals.wait().fold(true, |serve, signal| serve & running.serves_on(signal)) {}
     drain(&gateway, &mut signals, &mut running);
     Ok(())
@@ -154,6 +156,8 @@
     files: &'a Files,
     source: &'a Source,
     health: Option<health::Handle>,
+    /// As they were at the start.
+    cells: Option<asterreel::operator::Cells>,
     /// The drain's timetable, where balancers are told of it.
     table: Option<Timetable>,
 }
@@ -191,6 +195,9 @@
             (None, None) => {}
             _ => warn!("health: switched on or off at the next start"),
         }
+        if self.cells != evaluated.operator.cells {
+            warn!("cells: the change takes effect at the next start");
+        }
     }
 }
 
--- a/src/cells/quarantine.rs
+++ b/src/cells/quarantine.rs
@@ -11,6 +11,11 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 
+/// Answers that make a shape or tenant known. Ours.
+const KNOWN: u32 = 4;
+/// Time between two looks for who can be forgotten. Ours.
+const AGE_EVERY: Micros = 1_000_000;
+
 /// Tenant and shape, hashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u64);
@@ -27,7 +32,7 @@
     pub lasts_ms: u64,
     /// Suspect members that one tenant may touch within the window; default 4.
     pub tenant_members: usize,
-    /// Fingerprints that are kept in mind; the oldest suspicion goes first. Default 4096.
+    /// Fingerprints that are kept in mind; those quiet for longest go first. Default 4096.
     pub entries: usize,
 }
 
@@ -69,6 +74,8 @@
 struct Suspect {
     /// Members that died or hung after it, and when.
     victims: Vec<(MemberId, Micros)>,
+    /// Answers before the first victim: with some, the shape was harmless a moment ago.
+    known: u32,
     /// Attempts that ended so, and those that were answered, since the first victim.
     died: u32,
     answered: u32,
@@ -82,12 +89,13 @@
     knobs: Knobs,
     shapes: BTreeMap<Fingerprint, Suspect>,
     tenants: BTreeMap<u64, Suspect>,
+    aged_at: Micros,
 }
 
 impl Quarantine {
     /// None suspected.
     pub fn new(knobs: Knobs) -> Quarantine {
-        Quarantine { knobs, shapes: BTreeMap::new(), tenants: BTreeMap::new() }
+        Quarantine { knobs, shapes: BTreeMap::new(), tenants: BTreeMap::new(), aged_at: 0 }
     }
 
     /// Decides on an attempt at a member: `ran` when an earlier one of the request may have run, and `victims` the
@@ -114,7 +122,8 @@
 
     /// An attempt has ended. Whatever is in flight when a member dies ends with it: a shape that is asked often meets
     /// many deaths that are not its own. So a suspect is shut only if at least as many of its attempts ended so, since
-    /// the first, as were answered.
+    /// the first, as were answered; and one that was answered before, only after twice as many deaths as one that is
+    /// new, by which time what was really to blame is shut.
     pub fn ended(
         &mut self,
         now: Micros,
@@ -123,9 +132,15 @@
         after: Aftermath,
     ) {
         if after == Aftermath::Answered {
-            let answered = |suspect: &mut Suspect| suspect.answered = suspect.answered.saturating_add(1);
-            self.shapes.entry(shape).and_modify(answered);
-            self.tenants.entry(tenant).and_modify(answered);
+            let answered = |suspect: &mut Suspect| {
+                let count =
+                    if suspect.victims.is_empty() { &mut suspect.known } else { &mut suspect.answered };
+                *count = count.saturating_add(1);
+                suspect.last = now;
+            };
+            answered(self.shapes.entry(shape).or_default());
+            answered(self.tenants.entry(tenant).or_default());
+            self.make_room();
             return;
         }
         let knobs = self.knobs;
@@ -139,16 +154,26 @@
             suspect.died = suspect.died.saturating_add(1);
             suspect.last = now;
             let own = suspect.died >= suspect.answered;
-            if own && suspect.victims.len() >= most && suspect.until <= now {
+            let enough = if suspect.known >= KNOWN {
+                suspect.died as usize >= 2 * most
+            } else {
+                suspect.victims.len() >= most
+            };
+            if own && enough && suspect.until <= now {
                 suspect.until = now.saturating_add(lasts << suspect.times.min(4));
                 suspect.times += 1;
                 suspect.victims.clear();
+                suspect.known = 0;
             }
         };
         hurt(self.shapes.entry(shape).or_default(), knobs.members);
         hurt(self.tenants.entry(tenant).or_default(), knobs.tenant_members);
-        bound(&mut self.shapes, knobs.entries);
-        bound(&mut self.tenants, knobs.entries);
+        self.make_room();
+    }
+
+    fn make_room(&mut self) {
+        bound(&mut self.shapes, self.knobs.entries);
+        bound(&mut self.tenants, self.knobs.entries);
     }
 
     /// Lifts a quarantine by hand; false when there is none.
@@ -174,6 +199,11 @@
 
     /// Forgets who has been quiet for long: a window, and as long again as its last quarantine lasted.
     fn age(&mut self, now: Micros) {
+        // All are looked at: not at every request.
+        if now.saturating_sub(self.aged_at) < AGE_EVERY {
+            return;
+        }
+        self.aged_at = now;
         let (window, lasts) = (self.knobs.window_ms * 1000, self.knobs.lasts_ms * 1000);
         let stays = |suspect: &mut Suspect| {
             let remembered = if suspect.times > 0 { lasts << suspect.times.min(5) } else { 0 };
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -404,3 +404,25 @@
         assert_eq!(verdict, Verdict::Go, "after {death}");
     }
 }
+
+#[test]
+fn a_shape_that_was_answered_before_is_shut_later_than_a_new_one_but_it_is() {
+    let mut quarantine = Quarantine::new(Knobs::default());
+    let (now, known, new) =
+        (100 * S, (1, fingerprint("one", b"SELECT known")), (2, fingerprint("two", b"SELECT new")));
+    for _ in 0..10 {
+        quarantine.ended(now, known, MemberId(1), Aftermath::Answered);
+    }
+    // Both are in flight when two members die, one after the other, and only the new one is to blame.
+    for death in 0..2 {
+        quarantine.ended(now, known, MemberId(death), Aftermath::Died);
+        quarantine.ended(now, new, MemberId(death), Aftermath::Died);
+    }
+    assert_eq!(quarantine.admit(now, known, Effect::Safe, false, 0), Verdict::Go);
+    assert_eq!(quarantine.admit(now, new, Effect::Safe, false, 0), Verdict::Refuse);
+    // A release that turned it into poison: deaths go on, and answers don't.
+    for death in 2..4 {
+        quarantine.ended(now, known, MemberId(death), Aftermath::Died);
+    }
+    assert_eq!(quarantine.admit(now, known, Effect::Safe, false, 0), Verdict::Refuse);
+}
--- a/tests/cells_fronts.rs
+++ b/tests/cells_fronts.rs
@@ -50,6 +50,7 @@
         let shown = placement.display();
         let plan = Plan {
             program: env!("CARGO_BIN_EXE_asterreel").into(),
+            before: None,
             client: places[0],
             agent: places[1],
             http: places[2],
@@ -219,3 +220,36 @@
     let mut nobody = Client::connect(scene.client, "no name");
     assert_eq!(nobody.ask("x0", false).as_deref(), Some("28000"));
 }
+
+fn asterreel(arguments: &[&str]) -> (Option<i32>, String) {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_asterreel")).args(arguments).output();
+    let output = output.expect("it runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+}
+
+#[test]
+fn placements_are_checked_published_whole_and_only_forward_and_looked_up() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = |name: &str| folder.path().join(name).display().to_string();
+    let (source, target) = (path("source.json"), path("placement"));
+    let example = include_str!("../examples/placement.json");
+    std::fs::write(&source, example).expect("written");
+    let (code, text) = asterreel(&["cells", "plan", &source]);
+    assert!(code == Some(0) && text.contains("cell alpine: groups [0]"), "{text}");
+    assert_eq!(asterreel(&["cells", "publish", &source, &target]).0, Some(0));
+    let (code, text) = asterreel(&["cells", "where", &target, "web"]);
+    assert!(code == Some(0) && text.contains("web: cell alpine, groups 0, epoch 1"), "{text}");
+    let (code, text) = asterreel(&["cells", "publish", &source, &target]);
+    assert!(code == Some(1) && text.contains("epoch 1 does not follow 1"), "{text}");
+    std::fs::write(&source, example.replace("\"epoch\": 1,", "\"epoch\": 2,")).expect("written");
+    assert_eq!(asterreel(&["cells", "publish", &source, &target]).0, Some(0));
+    let left = std::fs::read_dir(folder.path()).expect("read").count();
+    assert_eq!(left, 2, "nothing half is left behind");
+    std::fs::write(&source, example.replace("\"spread\": 1", "\"spread\": 2")).expect("written");
+    let (code, text) = asterreel(&["cells", "plan", &source]);
+    assert!(code == Some(1) && text.contains("cells[0]") && text.contains("spread is 2"), "{text}");
+    std::fs::write(&source, example.replace("\"order\"", "\"ordr\"")).expect("written");
+    let (code, text) = asterreel(&["cells", "plan", &source]);
+    assert!(code == Some(1) && text.contains("order"), "{text}");
+}
--- a/tests/health_fronts.rs
+++ b/tests/health_fronts.rs
@@ -7,7 +7,6 @@
 use nix::sys::signal::Signal;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::UnixDatagram;
 use std::path::Path;
 use std::process::{Command, Output};
@@ -28,6 +27,7 @@
     let places = free(3).expect("free ports");
     Plan {
         program: PROGRAM.into(),
+        before: None,
         client: places[0],
         agent: places[1],
         http: places[2],
@@ -216,13 +216,9 @@
 #[test]
 fn with_no_descriptor_left_health_still_answers_and_says_what_is_wrong() {
     let fleet = Fleet::start(Shape::default()).expect("a fleet");
-    let folder = tempfile::tempdir().expect("a folder");
-    // The system allows fewer than the configuration says: accepting fails, for clients and for health.
-    let wrapper = folder.path().join("few");
-    std::fs::write(&wrapper, format!("#!/bin/sh\nulimit -n 60\nexec {PROGRAM} \"$@\"\n")).expect("written");
-    std::fs::set_permissions(&wrapper, PermissionsExt::from_mode(0o755)).expect("set");
     let mut plan = plan(&fleet, "connections = 8,");
-    plan.program = wrapper;
+    // The system allows fewer than the configuration says: accepting fails, for clients and for health.
+    plan.before = Some("ulimit -n 60".into());
     plan.sockets = 512;
     let gateway = Gateway::start(&plan).expect("started");
     let scene = Scene { fleet, plan, gateway };
@@ -263,15 +259,8 @@
     let socket = UnixDatagram::bind(&path).expect("bound");
     socket.set_read_timeout(Some(PATIENCE)).expect("set");
     let fleet = Fleet::start(Shape::default()).expect("a fleet");
-    let wrapper = folder.path().join("unit");
-    let text = format!(
-        "#!/bin/sh\nexport NOTIFY_SOCKET={} WATCHDOG_USEC=200000\nexec {PROGRAM} \"$@\"\n",
-        path.display()
-    );
-    std::fs::write(&wrapper, text).expect("written");
-    std::fs::set_permissions(&wrapper, PermissionsExt::from_mode(0o755)).expect("set");
     let mut plan = plan(&fleet, "notify = True,");
-    plan.program = wrapper;
+    plan.before = Some(format!("export NOTIFY_SOCKET={} WATCHDOG_USEC=200000", path.display()));
     let mut gateway = Gateway::start(&plan).expect("started");
     let next = || {
         let mut bytes = [0; 512];
