Evaluate the operator's file in a program of its own, so that no gateway holds the evaluator

Cause: the Starlark evaluator's tables were resident in every gateway, also in one without an operator's file (anonymous memory 1,764 KiB against 1,052 KiB before it came), since its start-up functions keep it linked; and a script that broke the evaluator broke the gateway. Change: asterreel-operator evaluates and answers with the checked types as JSON; the gateway starts it from beside itself, 5 s at the start and 0.5 s on SIGHUP. One that is missing, of another version or breaks off is a fault of the file.

--- a/src/bin/asterreel/cli.rs
+++ b/src/bin/asterreel/cli.rs
@@ -89,12 +89,23 @@
 }
 
 impl Files {
-    /// Evaluates the operator's file, if there is one.
-    pub fn evaluate(&self) -> Result<Evaluated, operator::BadFile> {
-        self.operator.as_deref().map_or_else(|| Ok(Evaluated::default()), operator::evaluate)
+    /// Has the operator's file evaluated, if there is one.
+    pub fn evaluate(&self, within: Duration) -> Result<Evaluated, operator::BadFile> {
+        let Some(path) = &self.operator else { return Ok(Evaluated::default()) };
+        let evaluator = operator::evaluator().map_err(|error| operator::BadFile {
+            file: path.display().to_string(),
+            at: None,
+            key: None,
+            fault: format!("no evaluator: {error}"),
+        })?;
+        operator::evaluate(&evaluator, path, within)
     }
 }
 
+/// How long the evaluation of an operator's file may take, at the start and while the gateway runs: signals wait for it.
+pub const EVALUATION: Duration = Duration::from_secs(5);
+pub const EVALUATION_RUNNING: Duration = Duration::from_millis(500);
+
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum Protocol {
     /// HAProxy's agent-check
@@ -149,7 +160,7 @@
 
 /// Checks both files.
 pub fn check(files: &Files) -> Result<(), Box<dyn Error>> {
-    let evaluated = files.evaluate()?;
+    let evaluated = files.evaluate(EVALUATION)?;
     let config = Config::from_env()?;
     println!("configuration: good ({}, listens on {})", config.name, config.listen);
     let Some(path) = &files.operator else { return Ok(()) };
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -84,7 +84,7 @@
     // Before anything else, so that a signal that comes early ends nothing.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let config = Config::from_env()?;
-    let evaluated = files.evaluate()?;
+    let evaluated = files.evaluate(cli::EVALUATION)?;
     let table = evaluated.beside(&config)?;
     // One core, so one worker; pinned, all gateways of a machine would share the first core.
     may::config()
@@ -178,7 +178,7 @@
     /// Reads the operator's file again; one that is bad, or doesn't fit, leaves the old one standing.
     fn operator_again(&mut self) {
         let Some(path) = &self.files.operator else { return };
-        let evaluated = match self.files.evaluate() {
+        let evaluated = match self.files.evaluate(cli::EVALUATION_RUNNING) {
             Ok(evaluated) => evaluated,
             Err(error) => return warn!("{error}; the operator's file in force stays"),
         };
--- a/src/cells/quarantine.rs
+++ b/src/cells/quarantine.rs
@@ -8,7 +8,7 @@
 
 use super::stable_hash;
 use crate::interface::{Effect, MemberId, Micros};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Answers that make a shape or tenant known. Ours.
@@ -21,7 +21,7 @@
 pub struct Fingerprint(pub u64);
 
 /// The knobs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Knobs {
     /// Members that must die or hang after one fingerprint before it is quarantined; 1 to 16, default 2.
--- a/src/cells/who.rs
+++ b/src/cells/who.rs
@@ -1,11 +1,11 @@
 //! Who asks: the tenant of a session, from what a client can't forge in a statement.
 
 use ipnet::IpNet;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
 
 /// Where a tenant's name is taken from.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Source {
     /// `user` of the startup message.
--- a/src/health/drain.rs
+++ b/src/health/drain.rs
@@ -3,7 +3,7 @@
 
 use super::knobs::{within, Fault};
 use crate::interface::Micros;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// Nothing is sent to a gateway later than this after its drain was announced.
 const LIMIT_MS: u64 = 2_000;
@@ -16,7 +16,7 @@
 const LAST_ANSWERS: Micros = 100_000;
 
 /// How the balancer in front checks; its keys are named as balancers name them.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Balancer {
     /// Time between two checks of one gateway; 10 to 2000, default 250.
@@ -34,7 +34,7 @@
 }
 
 /// What the operator says of the drain.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Drain {
     /// How long requests are still taken after SIGTERM; computed where it is left out.
--- a/src/health/knobs.rs
+++ b/src/health/knobs.rs
@@ -1,10 +1,10 @@
 //! What an operator may set of the decisions on health, with units, defaults and bounds.
 
 use crate::interface::Micros;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// The knobs; milliseconds where a name ends in `_ms`.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Knobs {
     /// Least weight while anything can be served; 1 to 50, default 10.
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,44 +1,27 @@
-//! The operator's file: a Starlark script that is evaluated once into plain checked types, then dropped.
+//! The operator's file: a Starlark script that is evaluated once into plain checked types.
 //!
-//! It calls `health(...)`, `cells(...)` and the functions that make their parts; everything it leaves out is off. Evaluation has no
-//! effect but its result: no files beside those that it loads from its own folder, no clock, no network, and bounds on
-//! steps, heap, call depth and time. Every error names the file, line, column and key. Files are read here, through
-//! the path that the caller gives, because a script may load others.
+//! It calls `health(...)`, `cells(...)` and the functions that make their parts; everything it leaves out is off. The
+//! evaluator is a program of its own, `asterreel-operator`, beside the gateway's: here is what it answers with, how it is
+//! asked, and what can be checked only beside the gateway's configuration. Every error names the file, line, column and
+//! key.
 
 mod settings;
 
 pub use settings::{Agent, CellBounds, Cells, Health, Listener, Operator};
 
 use crate::config::Config;
-use crate::health::drain::{Balancer, Drain, Timetable};
-use crate::health::Knobs;
-use serde::de::DeserializeOwned;
-use serde_json::{Map, Value as Json};
-use starlark::codemap::FileSpan;
-use starlark::environment::{FrozenModule, Globals, GlobalsBuilder, LibraryExtension, Module};
-use starlark::eval::{Evaluator, FileLoader};
-use starlark::starlark_module;
-use starlark::syntax::{AstModule, Dialect};
-use starlark::values::dict::DictRef;
-use starlark::values::{Heap, Value};
-use std::cell::RefCell;
-use std::path::{Component, Path, PathBuf};
-use std::time::{Duration, Instant};
+use crate::health::drain::Timetable;
+use serde::{Deserialize, Serialize};
+use std::io::Read;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::Duration;
 
-/// The longest file, calls within calls, loops and calls in all, heap, time, files that load one another, and levels
-/// of an expression. Ours: a file of some hundred lines uses a hundredth of each.
-const LONGEST: u64 = 64 * 1024;
-const CALL_DEPTH: usize = 50;
-const STEPS: u64 = 1_000_000;
-const HEAP: usize = 16 * 1024 * 1024;
-const TIME: Duration = Duration::from_secs(5);
-const LOAD_DEPTH: usize = 8;
-const DEEPEST: usize = 200;
-/// The stack of the thread that evaluates; the parser and compiler recurse as deep as an expression does.
-const STACK: usize = 64 * 1024 * 1024;
+/// The longest answer that is taken in: a file is 64 KiB at most, and a fault quotes a call of it.
+const LONGEST: u64 = 1 << 20;
 
 /// What is wrong with an operator's file, and where.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BadFile {
     /// The file at fault; a loaded one, perhaps.
     pub file: String,
@@ -66,34 +49,30 @@
 impl std::error::Error for BadFile {}
 
 /// A file that was evaluated, with what is needed to say where a key stands.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Evaluated {
     /// What it sets.
     pub operator: Operator,
-    file: String,
-    health_at: Option<Place>,
+    /// The file.
+    pub file: String,
+    /// Where it calls `health`.
+    pub health_at: Option<Place>,
 }
 
 /// A call in a file: its text and where it begins.
-#[derive(Clone, Debug)]
-struct Place {
-    file: String,
-    text: String,
-    line: usize,
-    column: usize,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// The file.
+    pub file: String,
+    /// The call, as it is written.
+    pub text: String,
+    /// Where it begins, counted from 1.
+    pub line: usize,
+    /// See `line`.
+    pub column: usize,
 }
 
 impl Place {
-    fn of(span: &FileSpan) -> Place {
-        let resolved = span.resolve();
-        Place {
-            file: resolved.file,
-            text: span.source_span().to_owned(),
-            line: resolved.span.begin.line + 1,
-            column: resolved.span.begin.column + 1,
-        }
-    }
-
     /// Where the last part of a key is set within the call; the call itself where it is not.
     fn find(&self, key: &str) -> (usize, usize) {
         let leaf = key.rsplit('.').next().unwrap_or(key);
@@ -116,7 +95,8 @@
         (self.line, self.column)
     }
 
-    fn bad(&self, key: &str, fault: &str) -> BadFile {
+    /// A fault of a key that the call sets, or should.
+    pub fn bad(&self, key: &str, fault: &str) -> BadFile {
         BadFile {
             file: self.file.clone(),
             at: Some(self.find(key)),
@@ -137,350 +117,49 @@
     }
 }
 
-fn qualified(key: &str) -> String {
+/// A key of `health`, as faults name it.
+pub fn qualified(key: &str) -> String {
     if key == "health" {
         return key.into();
     }
     format!("health.{key}")
 }
 
-/// Evaluates a file, on a thread of its own that is gone when this returns.
-pub fn evaluate(path: &Path) -> Result<Evaluated, BadFile> {
-    let path = path.to_owned();
-    let file = path.display().to_string();
-    let bad = |fault: String| BadFile { file: file.clone(), at: None, key: None, fault };
-    let evaluating = std::thread::Builder::new().name("operator".into()).stack_size(STACK);
-    let thread = evaluating.spawn(move || evaluate_here(&path)).map_err(|error| bad(error.to_string()))?;
-    thread.join().unwrap_or_else(|_| Err(bad("the evaluation broke off".into())))
-}
-
-/// What a script's calls leave behind; one script at a time is evaluated on a thread.
-#[derive(Default)]
-struct Collected {
-    health: Option<(Health, Place)>,
-    cells: Option<(Cells, Place)>,
-    /// The first fault that one of our functions found: an error of the evaluation would lose the key.
-    fault: Option<BadFile>,
-}
-
-thread_local! {
-    static COLLECTED: RefCell<Collected> = RefCell::default();
-}
-
-fn evaluate_here(path: &Path) -> Result<Evaluated, BadFile> {
-    COLLECTED.set(Collected::default());
-    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    let loader = Loader {
-        globals: globals(),
-        folder: folder.to_owned(),
-        deadline: Instant::now() + TIME,
-        under_way: RefCell::default(),
-    };
-    let result = loader.run(path, path.display().to_string()).map(drop);
-    let collected = COLLECTED.take();
-    if let Some(fault) = collected.fault {
-        return Err(fault);
-    }
-    result?;
-    let mut evaluated = Evaluated { file: path.display().to_string(), ..Evaluated::default() };
-    if let Some((health, place)) = collected.health {
-        health.check().map_err(|(key, fault)| place.bad(&qualified(&key), &fault))?;
-        evaluated.operator.health = Some(health);
-        evaluated.health_at = Some(place);
-    }
-    if let Some((mut cells, place)) = collected.cells {
-        cells.rules().map_err(|(key, fault)| place.bad(&format!("cells.{key}"), &fault))?;
-        cells.placement = folder.join(&cells.placement);
-        evaluated.operator.cells = Some(cells);
-    }
-    Ok(evaluated)
-}
-
-/// Keeps the first fault.
-fn note(fault: BadFile) {
-    COLLECTED.with_borrow_mut(|collected| {
-        collected.fault.get_or_insert(fault);
-    });
+/// What the evaluator answers with.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Reply {
+    /// Of the evaluator: another's answer may mean something else.
+    pub version: String,
+    /// What the file sets, or what is wrong with it.
+    pub result: Result<Evaluated, BadFile>,
 }
 
-struct Loader {
-    globals: Globals,
-    folder: PathBuf,
-    deadline: Instant,
-    under_way: RefCell<Vec<PathBuf>>,
+/// The evaluator that stands beside this program.
+pub fn evaluator() -> std::io::Result<PathBuf> {
+    Ok(std::env::current_exe()?.with_file_name("asterreel-operator"))
 }
 
-impl Loader {
-    fn run(&self, path: &Path, name: String) -> Result<FrozenModule, BadFile> {
-        let bad = |fault: String| BadFile { file: name.clone(), at: None, key: None, fault };
-        let unreadable = |error: std::io::Error| bad(format!("cannot be read: {error}"));
-        let real = path.canonicalize().map_err(unreadable)?;
-        {
-            let mut under_way = self.under_way.borrow_mut();
-            if under_way.contains(&real) {
-                return Err(bad("loads itself".into()));
-            }
-            if under_way.len() >= LOAD_DEPTH {
-                return Err(bad(format!("loads go deeper than {LOAD_DEPTH} files")));
-            }
-            under_way.push(real);
-        }
-        let size = std::fs::metadata(path).map_err(unreadable)?.len();
-        if size > LONGEST {
-            return Err(bad(format!("{size} bytes are more than {LONGEST}")));
-        }
-        let text = std::fs::read_to_string(path).map_err(unreadable)?;
-        if let Some(line) = too_deep(&text) {
-            let fault = format!("brackets and operators go deeper than {DEEPEST}");
-            return Err(BadFile { at: Some((line, 1)), ..bad(fault) });
-        }
-        let from = |error: starlark::Error| described(&name, &error);
-        let ast = AstModule::parse(&name, text, &Dialect::Standard).map_err(from)?;
-        let module = Module::with_temp_heap(|module| {
-            {
-                let mut evaluator = Evaluator::new(&module);
-                let bounds = evaluator.set_max_callstack_size(CALL_DEPTH);
-                let bounds = bounds.and_then(|()| evaluator.set_max_tick_count(STEPS));
-                bounds
-                    .and_then(|()| evaluator.set_max_heap_size(HEAP))
-                    .map_err(starlark::Error::new_other)?;
-                let deadline = self.deadline;
-                evaluator.set_check_cancelled(Box::new(move || Instant::now() >= deadline));
-                evaluator.set_loader(self);
-                evaluator.eval_module(ast, &self.globals)?;
-            }
-            module.freeze().map_err(|error| starlark::Error::new_other(anyhow::anyhow!("{error:?}")))
-        });
-        self.under_way.borrow_mut().pop();
-        module.map_err(from)
-    }
-}
-
-/// The line where an expression gets too deep: brackets within brackets and operators on one another, whichever way
-/// they lean. The parser and the compiler recurse along them, and a stack that overflows ends the process. Counts too
-/// much rather than too little: each operator since the last comma as a level, in all that it stands in.
-fn too_deep(text: &str) -> Option<usize> {
-    let bytes = text.as_bytes();
-    // The level at each open bracket, and of what comes next.
-    let (mut open, mut level, mut elifs) = (Vec::new(), 0usize, 0usize);
-    let (mut at, mut line) = (0, 1);
-    while at < bytes.len() {
-        let rest = &bytes[at..];
-        let mut used = 1;
-        match rest[0] {
-            b'\n' => {
-                line += 1;
-                level = if open.is_empty() { 0 } else { level };
-            }
-            b'#' => used = rest.iter().position(|byte| *byte == b'\n').unwrap_or(rest.len()),
-            quote @ (b'"' | b'\'') => {
-                let end: &[u8] = if rest.starts_with(&[quote; 3]) { &[quote; 3] } else { &[quote] };
-                used = end.len();
-                while used < rest.len() && !rest[used..].starts_with(end) {
-                    line += usize::from(rest[used] == b'\n');
-                    used += if rest[used] == b'\\' { 2 } else { 1 };
-                }
-                used = (used + end.len()).min(rest.len());
-            }
-            b'(' | b'[' | b'{' => {
-                open.push(level);
-                level += 1;
-            }
-            b')' | b']' | b'}' => level = open.pop().map_or(0, |level| level + 1),
-            b',' => level = open.last().map_or(0, |level| level + 1),
-            b'+' | b'-' | b'*' | b'/' | b'%' | b'|' | b'&' | b'^' | b'~' | b'.' | b'<' | b'>' | b'='
-            | b'!' => level += 1,
-            byte if byte.is_ascii_alphabetic() || byte == b'_' => {
-                let word = |byte: &u8| byte.is_ascii_alphanumeric() || *byte == b'_';
-                used = rest.iter().position(|byte| !word(byte)).unwrap_or(rest.len());
-                match &rest[..used] {
-                    b"not" | b"and" | b"or" | b"in" | b"if" | b"else" | b"for" | b"lambda" => level += 1,
-                    b"elif" => elifs += 1,
-                    _ => {}
-                }
-            }
-            _ => {}
-        }
-        if level > DEEPEST || elifs > DEEPEST {
-            return Some(line);
-        }
-        at += used;
-    }
-    None
-}
-
-fn described(name: &str, error: &starlark::Error) -> BadFile {
-    let place = error.span().map(Place::of);
-    let fault = error.without_diagnostic().to_string();
-    let fault = fault.lines().next().unwrap_or("error").to_owned();
-    BadFile {
-        file: place.as_ref().map_or_else(|| name.to_owned(), |place| place.file.clone()),
-        at: place.map(|place| (place.line, place.column)),
-        key: None,
-        fault,
-    }
-}
-
-impl FileLoader for Loader {
-    fn load(&self, path: &str) -> starlark::Result<FrozenModule> {
-        let refuse = |why: &str| starlark::Error::new_other(anyhow::anyhow!("load({path:?}): {why}"));
-        let plain = Path::new(path).components().all(|part| matches!(part, Component::Normal(_)));
-        if !plain || path.is_empty() {
-            return Err(refuse("only files below the folder of the operator's file are loaded"));
-        }
-        let full = self.folder.join(path);
-        // A link may lead out of the folder.
-        let inside = |real: &Path| self.folder.canonicalize().is_ok_and(|folder| real.starts_with(folder));
-        match full.canonicalize() {
-            Ok(real) if !inside(&real) => return Err(refuse("it leads out of the folder")),
-            Ok(_) => {}
-            Err(error) => return Err(refuse(&error.to_string())),
-        }
-        self.run(&full, full.display().to_string()).map_err(|fault| {
-            let text = fault.to_string();
-            note(fault);
-            starlark::Error::new_other(anyhow::anyhow!("{text}"))
-        })
-    }
-}
-
-fn globals() -> Globals {
-    GlobalsBuilder::extended_by(&[LibraryExtension::StructType, LibraryExtension::Print])
-        .with(functions)
-        .build()
-}
-
-/// Checks the arguments of a call against the type that they are for.
-fn checked<T: DeserializeOwned>(
-    what: &str,
-    arguments: &DictRef,
-    evaluator: &Evaluator,
-) -> anyhow::Result<(T, Map<String, Json>, Place)> {
-    let place = evaluator.call_stack_top_location().map(|span| Place::of(&span));
-    let place = place.unwrap_or(Place { file: "?".into(), text: String::new(), line: 0, column: 0 });
-    let fail = |key: &str, fault: &str| {
-        let key = if key.is_empty() || key == "." { what.to_owned() } else { format!("{what}.{key}") };
-        let fault = place.bad(&key, fault);
-        let text = fault.to_string();
-        note(fault);
-        anyhow::anyhow!("{text}")
-    };
-    let mut map = Map::new();
-    for (name, value) in arguments.iter() {
-        let name = name.unpack_str().unwrap_or("?");
-        let value = value.to_json_value().map_err(|_| fail(name, "is not plain data"))?;
-        // What is left out and what is None are the same.
-        if !value.is_null() {
-            map.insert(name.to_owned(), value);
-        }
-    }
-    let typed = serde_path_to_error::deserialize(Json::Object(map.clone())).map_err(|error| {
-        let (path, fault) = (error.path().to_string(), error.inner().to_string());
-        let unknown = fault.strip_prefix("unknown field `").and_then(|rest| rest.split('`').next());
-        let missing = fault.strip_prefix("missing field `").and_then(|rest| rest.split('`').next());
-        let key = unknown.or(missing).unwrap_or(&path);
-        fail(key, &fault)
-    })?;
-    Ok((typed, map, place))
-}
-
-/// A part that another call takes: its arguments, checked, as a dictionary.
-fn part<'v, T: DeserializeOwned>(
-    what: &str,
-    arguments: &DictRef<'v>,
-    evaluator: &mut Evaluator<'v, '_, '_>,
-) -> anyhow::Result<Value<'v>> {
-    let (_, map, _) = checked::<T>(what, arguments, evaluator)?;
-    let heap: Heap<'v> = evaluator.heap();
-    Ok(heap.alloc(Json::Object(map)))
-}
-
-/// Keeps what is set once; set twice, it is a fault that names both places.
-fn once<T>(what: &str, value: T, place: Place, slot: impl Fn(&mut Collected) -> &mut Option<(T, Place)>) {
-    COLLECTED.with_borrow_mut(|collected| match slot(collected) {
-        empty @ None => *empty = Some((value, place)),
-        Some((_, first)) => {
-            let fault = place.bad(what, &format!("is set already, at {}:{}", first.file, first.line));
-            collected.fault.get_or_insert(fault);
-        }
-    });
-}
-
-#[starlark_module]
-fn functions(builder: &mut GlobalsBuilder) {
-    /// Where a front listens.
-    fn listener<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        part::<Listener>("listener", &arguments, eval)
-    }
-
-    /// The front of agent-check.
-    fn agent<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        part::<Agent>("agent", &arguments, eval)
-    }
-
-    /// How balancers check.
-    fn balancer<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        part::<Balancer>("balancer", &arguments, eval)
-    }
-
-    /// The drain.
-    fn drain<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        part::<Drain>("drain", &arguments, eval)
-    }
-
-    /// The decisions.
-    fn knobs<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        part::<Knobs>("knobs", &arguments, eval)
-    }
-
-    /// Health for balancers; called once at most.
-    fn health<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        let (health, _, place) = checked::<Health>("health", &arguments, eval)?;
-        once("health", health, place, |collected| &mut collected.health);
-        Ok(Value::new_none())
-    }
-
-    /// What a cell may hold.
-    fn bounds<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        part::<CellBounds>("bounds", &arguments, eval)
-    }
-
-    /// What is poison.
-    fn quarantine<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        part::<crate::cells::quarantine::Knobs>("quarantine", &arguments, eval)
-    }
-
-    /// Cells; called once at most.
-    fn cells<'v>(
-        #[starlark(kwargs)] arguments: DictRef<'v>,
-        eval: &mut Evaluator<'v, '_, '_>,
-    ) -> anyhow::Result<Value<'v>> {
-        let (cells, _, place) = checked::<Cells>("cells", &arguments, eval)?;
-        once("cells", cells, place, |collected| &mut collected.cells);
-        Ok(Value::new_none())
-    }
+/// Has a file evaluated by that program, within this time.
+pub fn evaluate(evaluator: &Path, path: &Path, within: Duration) -> Result<Evaluated, BadFile> {
+    let file = path.display().to_string();
+    let bad = |fault: String| BadFile { file: file.clone(), at: None, key: None, fault };
+    let failed = |error: std::io::Error| bad(format!("{}: {error}", evaluator.display()));
+    let mut command = Command::new(evaluator);
+    command.arg(path).arg(within.as_millis().to_string()).stdin(Stdio::null()).stdout(Stdio::piped());
+    let mut child = command.spawn().map_err(failed)?;
+    let mut text = Vec::new();
+    // It ends by itself within its time, and its output with it.
+    let read = child.stdout.take().map(|out| out.take(LONGEST).read_to_end(&mut text));
+    let ended = child.wait().map_err(failed)?;
+    read.transpose().map_err(failed)?;
+    let reply: Reply = serde_json::from_slice(&text)
+        .map_err(|error| bad(format!("the evaluation broke off ({ended}): {error}")))?;
+    if reply.version != env!("CARGO_PKG_VERSION") {
+        let versions = (reply.version, env!("CARGO_PKG_VERSION"));
+        return Err(bad(format!(
+            "the evaluator is of version {}, this program of {}",
+            versions.0, versions.1
+        )));
+    }
+    reply.result
 }
--- a/src/operator/settings.rs
+++ b/src/operator/settings.rs
@@ -8,13 +8,13 @@
 use crate::health::knobs::within;
 use crate::health::Knobs;
 use ipnet::IpNet;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// All that an operator's file sets; everything is off unless it is there.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Operator {
     /// Health for balancers.
     pub health: Option<Health>,
@@ -23,7 +23,7 @@
 }
 
 /// What a cell may hold of this gateway, as far as it is enforced; 0 is no bound.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct CellBounds {
     /// Requests that are open.
@@ -33,7 +33,7 @@
 }
 
 /// Cells: which tenants may reach which groups.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cells {
     /// The published placement; relative to the operator's file.
@@ -98,7 +98,7 @@
 }
 
 /// A front that listens.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listener {
     /// Where it listens.
@@ -106,7 +106,7 @@
 }
 
 /// The front of agent-check.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Agent {
     /// Where it listens.
@@ -133,7 +133,7 @@
 }
 
 /// Health for balancers; what is left out is off or has its default.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Health {
     /// HAProxy's agent-check.
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -270,6 +270,20 @@
     assert!(subject.history.is_empty());
 }
 
+#[test]
+fn a_clock_that_steps_back_moves_nothing() {
+    let mut subject = Subject::up();
+    let now = subject.now;
+    let mut actions = Vec::new();
+    for back in [S, 60 * S, now] {
+        subject.machine.handle(now - back, Event::Beat(Beat::Sent), &mut actions);
+        subject.machine.handle(now - back, Event::Tick, &mut actions);
+    }
+    assert_eq!(actions, []);
+    subject.pass(S);
+    assert_eq!(subject.told(), (State::Up, FULL, Reason::Fine));
+}
+
 #[test]
 fn connections_that_are_not_accepted_lower_the_weight_while_open_ones_are_served() {
     let mut subject = Subject::up();
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -1,7 +1,13 @@
 //! The operator's file: what it sets, and what is said of each wrong one.
 use asterreel::config::Config;
-use asterreel::operator::{evaluate, BadFile};
+use asterreel::operator::{self, BadFile, Evaluated};
 use std::path::Path;
+use std::time::Duration;
+
+fn evaluate(path: &Path) -> Result<Evaluated, BadFile> {
+    let evaluator = Path::new(env!("CARGO_BIN_EXE_asterreel-operator"));
+    operator::evaluate(evaluator, path, Duration::from_secs(20))
+}
 
 fn fault(text: &str) -> BadFile {
     let folder = tempfile::tempdir().expect("a folder");
@@ -171,3 +177,14 @@
     std::fs::write(&path, "load('out.star', 'x')\n").expect("written");
     assert!(evaluate(&path).expect_err("a way out").to_string().contains("out of the folder"));
 }
+
+#[test]
+fn an_evaluator_that_is_not_there_or_says_nothing_is_a_fault_of_the_file_and_no_more() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("operator.star");
+    std::fs::write(&path, "").expect("written");
+    let ask =
+        |program: &Path| operator::evaluate(program, &path, Duration::from_secs(1)).expect_err("no answer");
+    assert!(ask(&folder.path().join("nothing")).fault.contains("nothing"));
+    assert!(ask(Path::new("/bin/true")).fault.contains("broke off"));
+}
