Say where the evaluator must stand when an operator's file can't be evaluated

cargo run builds the gateway alone; the message named a missing file and not what to do. Measured: the six tests of the operator's file pass, one of them with an evaluator that is not there.

--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -143,7 +143,12 @@
 pub fn evaluate(evaluator: &Path, path: &Path, within: Duration) -> Result<Evaluated, BadFile> {
     let file = path.display().to_string();
     let bad = |fault: String| BadFile { file: file.clone(), at: None, key: None, fault };
-    let failed = |error: std::io::Error| bad(format!("{}: {error}", evaluator.display()));
+    let failed = |error: std::io::Error| {
+        let program = evaluator.display();
+        bad(format!(
+            "its evaluator {program}: {error}; it must stand beside asterreel (`cargo build` makes both)"
+        ))
+    };
     let mut command = Command::new(evaluator);
     command.arg(path).arg(within.as_millis().to_string()).stdin(Stdio::null()).stdout(Stdio::piped());
     let mut child = command.spawn().map_err(failed)?;
