Keep the drain's plain timetable and the startup message each in one place

Cause: health::drain had the platform's figures (0.75 s, 3 s, 0.7 s, 0.1 s) beside main's own copy of them, and the probe built a startup message that pg builds already. Change: Timetable::plain and killed_after serve both; pg::startup_to serves both. Behaviour is as before.

--- a/src/bin/asterreel/cli.rs
+++ b/src/bin/asterreel/cli.rs
@@ -1,5 +1,6 @@
 //! The command line: what can be asked for, and the commands that need no gateway of their own.
 
+use crate::pg;
 use asterreel::cells::placement::{Placement, Published};
 use asterreel::cells::{record, Epoch};
 use asterreel::config::Config;
@@ -332,9 +333,7 @@
             }
             Protocol::Postgres => {
                 let database = group.map_or("orders".to_owned(), |group| format!("group-{group}"));
-                let words = format!("user\0web\0database\0{database}\0\0");
-                let length = (words.len() as u32 + 8).to_be_bytes();
-                let startup = [&length[..], &[0, 3, 0, 0], words.as_bytes()].concat();
+                let startup = pg::startup_to(&database);
                 let enough = |answer: &[u8]| answer.starts_with(b"R") && answer.ends_with(b"Z\0\0\0\x05I");
                 let answer = exchange(self.address, &startup, left, enough)?;
                 match answer.first() {
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -27,8 +27,8 @@
 use crate::pool::Pool;
 use crate::timer::Timer;
 use asterreel::config::Config;
-use asterreel::health::drain::Timetable;
-use asterreel::interface::{ListKind, Micros};
+use asterreel::health::drain::{Timetable, LAST_ANSWERS};
+use asterreel::interface::ListKind;
 use clap::Parser;
 use may::net::TcpListener;
 use may::sync::mpsc;
@@ -40,15 +40,6 @@
 use std::time::Duration;
 use tracing::{info, level_filters::LevelFilter, warn};
 
-/// How long after the signal connections are still kept as if nothing had happened: the front may send new ones
-/// for 0.4 s, and what comes after 0.7 s must be answered before the process may be killed.
-const KEEP_SERVING: Micros = 750_000;
-/// Nobody kills the process earlier than the longest deadline, this much of it at most, ...
-const DEADLINE_COUNTED: Micros = 3_000_000;
-/// ... and so much more after the signal.
-const KILL_AFTER: Micros = 700_000;
-/// Time for the last answers.
-const LAST_ANSWERS: Micros = 100_000;
 /// Descriptors for everything that is neither a client nor a database: eleven were counted, and each thing that
 /// is opened before another is closed takes one more.
 const RESERVED: usize = 24;
@@ -226,10 +217,7 @@
         health.terminate();
     }
     let longest = running.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    let killed = longest.min(DEADLINE_COUNTED) + KILL_AFTER;
-    // Without balancers to tell, what the platform's front needs.
-    let plain = Timetable { announce: KEEP_SERVING, answer_until: killed - LAST_ANSWERS };
-    let table = running.table.unwrap_or(plain);
+    let table = running.table.unwrap_or(Timetable::plain(longest));
     let (began, clock) = (gateway.core.clock.now(), gateway.core.clock);
     gateway.answer_until(began + table.answer_until);
     info!("draining");
--- a/src/bin/asterreel/pg.rs
+++ b/src/bin/asterreel/pg.rs
@@ -203,8 +203,13 @@
 
 /// What a gateway opens its connection to a database with.
 pub fn startup() -> Vec<u8> {
+    startup_to("orders")
+}
+
+/// The same, to a database of this name.
+pub fn startup_to(database: &str) -> Vec<u8> {
     let mut out = vec![0, 0, 0, 0, 0, 3, 0, 0];
-    for word in ["user", "web", "database", "orders", ""] {
+    for word in ["user", "web", "database", database, ""] {
         put_text(&mut out, word);
     }
     let length = out.len() as u32;
--- a/src/health/drain.rs
+++ b/src/health/drain.rs
@@ -12,8 +12,12 @@
 /// A gateway keeps serving for this long in any case: the platform's front sends new connections for 0.4 s, and
 /// what comes after 0.7 s must be answered before the process may be killed.
 const LEAST_MS: u64 = 750;
+/// Nobody kills the process earlier than the longest deadline, this much of it at most, ...
+const DEADLINE_COUNTED: Micros = 3_000_000;
+/// ... and so much more after SIGTERM.
+const KILL_AFTER: Micros = 700_000;
 /// Time for the last answers.
-const LAST_ANSWERS: Micros = 100_000;
+pub const LAST_ANSWERS: Micros = 100_000;
 
 /// How the balancer in front checks; its keys are named as balancers name them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -53,6 +57,21 @@
     pub answer_until: Micros,
 }
 
+/// When the platform may kill the process, after SIGTERM.
+fn killed_after(longest_deadline: Micros) -> Micros {
+    longest_deadline.min(DEADLINE_COUNTED) + KILL_AFTER
+}
+
+impl Timetable {
+    /// Without balancers to tell: what the platform's front needs.
+    pub fn plain(longest_deadline: Micros) -> Timetable {
+        Timetable {
+            announce: LEAST_MS * 1000,
+            answer_until: killed_after(longest_deadline) - LAST_ANSWERS,
+        }
+    }
+}
+
 /// Whether a balancer's word is had by one check (an agent's) or by failed checks in a row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hearing {
@@ -96,8 +115,7 @@
             return Err(("drain.announce_ms", fault));
         }
         within("drain.announce_ms", announce, LEAST_MS, LIMIT_MS)?;
-        let platform = longest_deadline.min(3_000_000) + 700_000;
-        let killed = self.kill_after_ms.map_or(platform, |ms| ms.saturating_mul(1000));
+        let killed = self.kill_after_ms.map_or(killed_after(longest_deadline), |ms| ms.saturating_mul(1000));
         let answer_until = killed.saturating_sub(LAST_ANSWERS);
         if announce * 1000 + LAST_ANSWERS > answer_until {
             let fault = format!(
@@ -126,6 +144,7 @@
         assert_eq!(table(None, None, &quick), Ok(wanted));
         let slow = Balancer { interval_ms: 500, fall: 3, timeout_ms: 100 };
         assert_eq!(table(None, None, &slow).map(|table| table.announce), Ok(1_750_000));
+        assert_eq!(Timetable::plain(10_000_000), wanted, "the least there is");
         let agent = Drain::default().timetable(&slow, Hearing::Agent, 10_000_000);
         assert_eq!(agent.map(|table| table.announce), Ok(750_000));
     }
