Ask a standby how far it is before a bounded read spills on the primary

A hundred gateways see one search a second and group each; a position younger than the bound of 500 ms was known for none. Reports went to all standbys, where each holds back what is applied, so that all of them fell behind now and then.

Checked and ruled out: capacity (standbys answered in 27 ms, primaries in 45 with 300 time-outs), discovery (all lists there within 2 s), full tables, CPU (0.02 of a core).

At fault: Router::pick (spills as soon as nobody is known in sync), first_probe and survey (probe whether or not anything is to be sent), gather (each front by its own knowledge), search (turns on though nothing is asked).

Change: a bounded read that finds nobody known in sync has one standby probed and waits at most 60 ms for its word; a large fleet leaves out first probes and those of members heard of; any-reads of a large fleet gather on the member whose name drew the lowest lot, the same at every front; a search turns on only with a request to send.

--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, TryLockError};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// What the module wants done for one request.
 #[derive(Debug)]
@@ -212,6 +212,7 @@
             entry.member = *self.members.entry(item.store.clone()).or_insert(next);
             self.next_member += u32::from(entry.member == next);
             let place = self.places.entry(entry.member).or_insert_with(|| (item.store.clone(), None));
+            debug!("{:?} is {}", entry.member, item.store);
             place.1 = address.or(place.1);
         }
         Ok(entries)
@@ -226,6 +227,8 @@
 
     fn feed(&mut self, core: &Core, event: Event) {
         let now = core.clock.now();
+        // With what names say which member is meant, these lines let a day be replayed and counted over a fleet.
+        debug!(now, "{event:?}");
         let mut actions = std::mem::take(&mut self.actions);
         if let Some(observer) = &mut self.observer {
             observer.event(now, &event);
@@ -235,6 +238,7 @@
             if let Some(observer) = &mut self.observer {
                 observer.action(now, &action);
             }
+            debug!(now, "{action:?}");
             self.carry_out(core, now, action);
         }
         self.actions = actions;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -322,6 +322,8 @@
     pub role: Role,
     /// Its listed size.
     pub size: f64,
+    /// A number drawn from its name: the same at every front, and telling nothing else.
+    pub lot: u64,
 }
 
 /// How a list is to be read.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cells;
 pub mod config;
+pub mod fleet;
 /// The one helper of all parser tests; the program's share it.
 #[cfg(test)]
 #[path = "bin/asterreel/fuzz.rs"]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,6 +16,7 @@
 //!    and grows with answers.
 //! 10. A further attempt goes out only within what the outcomes prove, and from a budget.
 
+use crate::fleet::{self, ColdCredit, Fleet};
 use crate::interface::*;
 use crate::state::*;
 use std::cmp::Reverse;
@@ -25,8 +26,6 @@
 const FAIL_POINT: u32 = 4;
 /// Time between probes, or trial reads, of a member, microseconds. DESIGN's 'about once a second'.
 const PROBE_EVERY: Micros = 1_000_000;
-/// Fronts that may each keep that pace at one member; a larger fleet shares what these would send. Ours.
-const FRONTS_AT_PACE: f64 = 8.0;
 /// Lag above which any-reads gather on a standby, microseconds: many times what shipping takes. Ours.
 const LAG_APART: Micros = 100_000;
 /// How long a lag once heard is taken to hold, microseconds: two probes, so that one may be lost. Ours.
@@ -35,8 +34,6 @@
 const SERVE_EVERY: Micros = 20_000;
 /// A member owing answers is silent after this many of its usual tail latencies. Ours.
 const SILENT_TAILS: f64 = 1.5;
-/// Mean deviations above the mean that make a tail latency; about one answer in thirty is slower. Ours.
-const TAIL_DEVIATIONS: f64 = 3.0;
 /// Share of a newly measured value in a running mean. Ours; a tenth follows change within a second or so.
 const LEARN: f64 = 0.1;
 /// Further attempts earned by each arrival; the most that may be saved up. Ours: a tenth can't feed a storm.
@@ -59,6 +56,10 @@
 const SHARE_FLOOR: f64 = 0.2;
 /// Own attempts a member, of a large fleet, below which the share acts; above, limits in flight do. Ours.
 const THIN_MOST: f64 = 2.0;
+/// How long a bounded read waits for word from a standby, and after which silence the next one is asked,
+/// microseconds: a connection and a round trip, twice, and little beside a wanted time. Ours.
+const ASK_PATIENCE: Micros = 60_000;
+const ASK_AGAIN: Micros = 25_000;
 /// Latency over wanted time of answers above which late ones speak of load, not of single members. Ours.
 const LOADED: f64 = 0.35;
 /// Late worth below which a read is not worth room once its wanted time can't be met. Ours.
@@ -83,6 +84,7 @@
 /// The decisions of one front.
 pub struct Router {
     settings: Settings,
+    fleet: Fleet,
     rng: fastrand::Rng,
     now: Micros,
     out: Vec<Action>,
@@ -113,13 +115,14 @@
             return bad("a share below zero");
         }
         Ok(Router {
+            fleet: Fleet::new(settings.fleet),
             rng: fastrand::Rng::with_seed(seed),
             now,
             out: Vec::new(),
             members: BTreeMap::new(),
             groups: BTreeMap::new(),
             requests: BTreeMap::new(),
-            paces: settings.classes.iter().map(|class| first_guess(class.aim)).collect(),
+            paces: settings.classes.iter().map(|class| Pace::first_guess(class.aim)).collect(),
             commits: Commits::default(),
             agenda: Agenda::default(),
             retries: RETRY_SAVED,
@@ -172,7 +175,6 @@
                 Task::GiveUp(_) => {}
                 Task::Serve(id) => self.look_again(id),
                 Task::Survey(id) => self.survey(id),
-                Task::Probe(id) => self.probe(id),
                 Task::Beat => self.beating = false,
                 Task::Renew => self.out.push(Action::Watch),
             }
@@ -211,13 +213,13 @@
         if is_new {
             let aims = self.settings.classes.iter().map(|class| class.aim);
             let mut member = Member::new(entry, now);
-            member.pace = first_guess(aims.max().unwrap_or(PROBE_EVERY));
+            member.pace = Pace::first_guess(aims.max().unwrap_or(PROBE_EVERY));
             member.limit = LIMIT_START;
             self.members.insert(id, member);
             let group = self.groups.entry(entry.group).or_default();
             group.waiting.resize(self.paces.len(), VecDeque::new());
             group.members.push(id);
-            let first = self.rng.u64(0..self.pace_at(PROBE_EVERY));
+            let first = self.rng.u64(0..self.fleet.pace(PROBE_EVERY));
             self.later(first, Task::Survey(id));
         }
         let (chance, proven) = (self.rng.f64(), !self.settings.probes.granted());
@@ -227,25 +229,19 @@
         if is_new || member.started < entry.started {
             // A process that has started anew is cold, excused, and holds no role we knew of.
             member.started = entry.started;
-            (member.cold_credit, member.cold_at) = (chance, now);
+            member.cold = ColdCredit::starting(chance, now);
             (member.errors, member.mute) = (0, false);
             member.verified = proven;
             self.unmark(id);
-            self.first_probe(id);
+            // All fronts hear of a member at once; those of a large fleet ask when they need to know.
+            if !self.fleet.is_large() {
+                self.probe(id);
+            }
         }
         let listed = entry.role == Role::Primary;
         self.members.entry(id).and_modify(|member| member.listed_primary = listed);
     }
 
-    /// All fronts hear of a member at once; a large fleet spreads its first probes, or most are turned away.
-    fn first_probe(&mut self, id: MemberId) {
-        let spread = self.pace_at(SERVE_EVERY) - SERVE_EVERY;
-        match self.rng.u64(0..=spread) {
-            0 => self.probe(id),
-            wait => self.later(wait, Task::Probe(id)),
-        }
-    }
-
     fn leaving(&mut self, id: MemberId, state: EntryState) {
         let Some(member) = self.members.get_mut(&id) else { return };
         member.state = state;
@@ -289,25 +285,20 @@
         self.out.push(Action::Probe(id));
     }
 
-    /// A time stretched so that a large fleet does not multiply what each front does at a member.
-    fn pace_at(&self, alone: Micros) -> Micros {
-        (alone as f64 * self.sharing()) as Micros
-    }
-
-    fn sharing(&self) -> f64 {
-        (f64::from(self.settings.fleet) / FRONTS_AT_PACE).max(1.0)
-    }
-
     /// About once a second: a probe, and how much a warm member of the group carries from here.
     fn survey(&mut self, id: MemberId) {
-        let every = self.pace_at(PROBE_EVERY);
+        let every = self.fleet.pace(PROBE_EVERY);
         let Some(member) = self.members.get_mut(&id) else { return };
         let rate = f64::from(std::mem::take(&mut member.served)) * 1e6 / every as f64;
         if member.warmth(&self.settings, self.now) >= 1.0 {
             let group = self.groups.entry(member.group);
             group.and_modify(|g| g.peak_rate = rate.max(g.peak_rate * (1.0 - LEARN / 10.0)));
         }
-        self.probe(id);
+        // Of a large fleet each front is told enough by answers and by asking when it needs to know.
+        let heard = self.members.get(&id).is_some_and(|m| self.now.saturating_sub(m.heard_at) < every);
+        if !self.fleet.is_large() || !heard {
+            self.probe(id);
+        }
         let jitter = self.rng.u64(0..every / 5);
         self.later(every - every / 10 + jitter, Task::Survey(id));
     }
@@ -331,7 +322,7 @@
     }
 
     fn count_error(&mut self, id: MemberId) {
-        let trial_at = self.now.saturating_add(self.pace_at(PROBE_EVERY));
+        let trial_at = self.now.saturating_add(self.fleet.pace(PROBE_EVERY));
         let Some(member) = self.members.get_mut(&id) else { return };
         member.trial_at = trial_at;
         member.errors = member.errors.saturating_add(1);
@@ -375,7 +366,7 @@
                 // A time-out means too late, however long it was.
                 let late = ended.outcome == Outcome::TimedOut;
                 member.adapt_limit(if late { ratio.max(1.0) } else { ratio }, now);
-                let long = ended.latency as f64 >= tail(&member.pace);
+                let long = ended.latency as f64 >= member.pace.tail();
                 if unheard && long {
                     // Nothing heard for so long weighs as much as two quick errors.
                     member.mute = true;
@@ -416,7 +407,7 @@
 
     /// This front holds so few attempts a member that limits in flight cannot act.
     fn thin(&self, group: &Group) -> bool {
-        let below = self.sharing().min(THIN_MOST) * group.members.len() as f64;
+        let below = self.fleet.sharing().min(THIN_MOST) * group.members.len() as f64;
         f64::from(group.in_flight) < below
     }
 
@@ -651,9 +642,17 @@
         self.groups.entry(group).and_modify(|group| group.waiting[class].push_back(id));
         self.later(left, Task::GiveUp(id));
         self.search(group);
+        self.ask(id);
         self.serve_later(group);
     }
 
+    fn ask(&mut self, id: RequestId) {
+        let asked = self.requests.get(&id).and_then(|request| self.asks(request));
+        if let Some((member, false)) = asked {
+            self.probe(member);
+        }
+    }
+
     fn serve_later(&mut self, id: GroupId) {
         let Some(group) = self.groups.get_mut(&id) else { return };
         if !group.serving && group.waiting.iter().any(|queue| !queue.is_empty()) {
@@ -694,6 +693,7 @@
                 if !waits || self.place(request) {
                     queue.remove(at);
                 } else {
+                    self.ask(request);
                     blocked += 1;
                 }
             }
@@ -723,16 +723,14 @@
         let candidates = self.members_of(group).filter(|m| Some(m.id) != group.active && self.healthy(m));
         let Some(next) = candidates.min_by_key(|m| (!m.listed_primary, m.asked_at)) else { return };
         let harmless = |id: &RequestId| self.requests.get(id).is_some_and(|r| self.harmless_at(r, next));
-        let request = group.waiting.iter().flatten().copied().find(harmless);
+        let Some(request) = group.waiting.iter().flatten().copied().find(harmless) else { return };
         let next = next.id;
         self.groups.entry(id).and_modify(|group| group.searched_at = now);
         self.members.entry(next).and_modify(|member| {
             member.asked_at = now;
             member.listed_primary = false;
         });
-        if let Some(request) = request {
-            self.send(request, next);
-        }
+        self.send(request, next);
     }
 
     /// A replica turns it away untouched, and attempts are left for when the primary is found.
@@ -824,15 +822,7 @@
         let rate = self.groups.get(&member.group).map_or(0.0, |group| group.peak_rate);
         let carried = COLD_SAFETY * self.settings.fall_multiple * rate / 1e6;
         let per_micro = carried * member.warmth(&self.settings, self.now);
-        let per_micro = per_micro.max(1.0 / self.pace_at(span) as f64);
-        let earned = self.now.saturating_sub(member.cold_at) as f64 * per_micro;
-        let (credit, burst) = (member.cold_credit + earned, per_micro * span as f64 / 2.0);
-        // A whole credit of a thin front lapses, or all fronts would save one up and spend it together.
-        if credit.max(0.0).fract() > burst {
-            credit.fract()
-        } else {
-            credit.min(burst.max(1.0))
-        }
+        member.cold.saved(self.now, per_micro.max(1.0 / self.fleet.pace(span) as f64), span)
     }
 
     fn cold_room(&self, member: &Member) -> bool {
@@ -861,11 +851,15 @@
         // Standbys that lag leave few in sync, and those crowded: a quick active member takes the rest.
         let spilled = |may: bool| active(SPILL_SHARE).filter(|_| may && self.welcome(request, true));
         let quick = group.flows[1].pressure < LOADED;
+        if in_sync.is_empty() && self.asks(request).is_some() {
+            return None;
+        }
         if in_sync.is_empty() || !self.welcome(request, false) {
             return spilled(in_sync.is_empty() || quick);
         }
         let proven = in_sync.iter().any(|member| member.verified);
-        in_sync.retain(|m| m.verified == proven);
+        let shared = request.need == Need::Any && self.fleet.is_large();
+        in_sync.retain(|m| shared || m.verified == proven);
         if request.need == Need::Any {
             return self.gather(&in_sync);
         }
@@ -876,6 +870,30 @@
         self.less_busy_of_two(&in_sync)
     }
 
+    /// Whom to ask how far it is before a bounded read spills: traffic so thin that each word is old when the
+    /// next read comes would send all of them to the active member. Harm: a read waits a round trip.
+    fn asks(&self, request: &Request) -> Option<(MemberId, bool)> {
+        let group = self.groups.get(&request.arrival.group)?;
+        let unchecked = request.need == Need::Bounded && self.settings.checks == Checks::None;
+        let patient = self.now < request.received.saturating_add(ASK_PATIENCE);
+        if !unchecked || !patient || !self.settings.probes.granted() {
+            return None;
+        }
+        let stale = self.settings.bounds[request.class()] / 2;
+        let standbys = self.members_of(group).filter(|m| Some(m.id) != group.active && self.healthy(m));
+        let open = standbys.filter(|m| self.may_go(request, m));
+        let old = |m: &&Member| m.probe_out || self.now.saturating_sub(m.heard_at.max(m.probed_at)) >= stale;
+        let mut open: Vec<&Member> = open.filter(old).collect();
+        if let Some(asked) = open.iter().find(|m| m.probe_out && m.probed_at + ASK_AGAIN > self.now) {
+            return Some((asked.id, true));
+        }
+        open.retain(|m| !m.probe_out);
+        // Not where any-reads gather, as long as there is another.
+        open.sort_by_key(|m| m.lot);
+        let spare = usize::from(open.len() > 1);
+        self.less_busy_of_two(&open[spare..]).map(|id| (id, false))
+    }
+
     /// Any-reads may block applying where they run. Once they do, they gather on the standbys furthest
     /// behind, half of them at most, so that the others stay in sync. Where answers come late more would
     /// only time out; but only what is out there can ease the pressure, so with nothing in flight a trial
@@ -883,6 +901,11 @@
     fn gather(&self, members: &[&Member]) -> Option<MemberId> {
         let cold = |m: &Member| m.warmth(&self.settings, self.now) < 1.0;
         let mut behind = members.to_vec();
+        if self.fleet.is_large() {
+            // Fronts that see little of a group can't find out where the others gather: the lot says it.
+            behind.sort_by_key(|m| (cold(m), m.listed_primary, m.lot));
+            return behind.iter().find(|m| self.admits(m, 1.0)).map(|m| m.id);
+        }
         behind.sort_by_key(|m| (cold(m), Reverse(m.lag())));
         behind.truncate((members.len() / 2).max(1));
         if behind.first().is_some_and(|m| m.lag() <= LAG_APART || cold(m)) {
@@ -928,7 +951,7 @@
         request.sent(to, now);
         let request = &self.requests[&id];
         let timeout = self.worth_end(request).saturating_sub(now).max(1);
-        let trial_at = now.saturating_add(self.pace_at(PROBE_EVERY));
+        let trial_at = now.saturating_add(self.fleet.pace(PROBE_EVERY));
         let credit = self.members.get(&to).map_or(0.0, |m| self.cold_credit(m));
         // What a warm member was seen to carry is mostly of the lightest class: long work counts for more.
         let cost = (self.paces[request.class()].mean / self.lightest()).max(1.0);
@@ -938,7 +961,7 @@
                 member.quiet_since = now;
             }
             member.in_flight += 1;
-            (member.cold_credit, member.cold_at) = (credit - cost, now);
+            member.cold = ColdCredit::starting(credit - cost, now);
             let group = self.groups.entry(member.group);
             group.and_modify(|group| group.in_flight += 1);
         }
@@ -951,15 +974,6 @@
     matches!(outcome, Full | ConnectFailed | Moot | Miss | Unusable)
 }
 
-fn first_guess(aim: Micros) -> Pace {
-    Pace { mean: aim as f64 / 4.0, deviation: aim as f64 / 8.0 }
-}
-
-/// A latency that few answers exceed.
-fn tail(pace: &Pace) -> f64 {
-    pace.mean + TAIL_DEVIATIONS * pace.deviation
-}
-
 impl Member {
     /// Drains are kept from the first word on; where only a draining entry binds, 'gone' alone does not.
     fn drain_binds(&self, settings: &Settings) -> bool {
@@ -979,18 +993,12 @@
     /// harms a member that works on one very long request alone: it is spared until that is done.
     fn silent(&self, now: Micros) -> bool {
         let alone = if self.in_flight == 1 { 2.0 } else { 1.0 };
-        let patience = (tail(&self.pace) * SILENT_TAILS * alone) as Micros;
+        let patience = (self.pace.tail() * SILENT_TAILS * alone) as Micros;
         self.in_flight > 0 && now.saturating_sub(self.quiet_since) > patience
     }
 
-    /// The share of its capacity that a started member has at least.
     fn warmth(&self, settings: &Settings, now: Micros) -> f64 {
-        let age = now.saturating_sub(self.started);
-        if self.started == 0 || age >= settings.cold_for {
-            return 1.0;
-        }
-        (settings.cold_share + (1.0 - settings.cold_share) * age as f64 / settings.cold_for.max(1) as f64)
-            .min(1.0)
+        fleet::warmth(settings, self.started, now)
     }
 
     /// Learns how many attempts in flight keep latency under the wanted time.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 
 use crate::interface::*;
 use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The settings object.
 #[derive(Clone, Debug, Deserialize)]
@@ -248,6 +249,7 @@
             started: self.ready_at_us.max(self.up_since_ms.saturating_mul(1000)),
             role: if primary { Role::Primary } else { Role::Replica },
             size: self.size,
+            lot: xxh3_64(self.store.as_bytes()),
         })
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a router keeps in mind, without any decision: records, a running mean, an agenda, session commits.
 
+use crate::fleet::ColdCredit;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -10,7 +11,20 @@
     pub deviation: f64,
 }
 
+/// Mean deviations above the mean that make a tail latency; about one answer in thirty is slower. Ours.
+const TAIL_DEVIATIONS: f64 = 3.0;
+
 impl Pace {
+    /// Before anything was measured, for what is wanted within a time.
+    pub fn first_guess(aim: Micros) -> Pace {
+        Pace { mean: aim as f64 / 4.0, deviation: aim as f64 / 8.0 }
+    }
+
+    /// A latency that few answers exceed.
+    pub fn tail(&self) -> f64 {
+        self.mean + TAIL_DEVIATIONS * self.deviation
+    }
+
     pub fn learn(&mut self, sample: Micros, weight: f64) {
         let error = sample as f64 - self.mean;
         self.mean += weight * error;
@@ -24,6 +38,8 @@
     pub id: MemberId,
     pub group: GroupId,
     pub zone: ZoneId,
+    /// The same at every front.
+    pub lot: u64,
     pub state: EntryState,
     pub seen_draining: bool,
     /// When its process last started, as the list has it; 0 is long ago.
@@ -57,9 +73,8 @@
     pub limit_moved: Micros,
     /// Answers since the last survey.
     pub served: u32,
-    /// Sends saved up while cold, as at a time.
-    pub cold_credit: f64,
-    pub cold_at: Micros,
+    /// Sends saved up while cold.
+    pub cold: ColdCredit,
 }
 
 impl Member {
@@ -68,6 +83,7 @@
             id: entry.member,
             group: entry.group,
             zone: entry.zone,
+            lot: entry.lot,
             started: entry.started,
             quiet_since: now,
             ..Member::default()
@@ -184,7 +200,6 @@
     GiveUp(RequestId),
     Serve(GroupId),
     Survey(MemberId),
-    Probe(MemberId),
     Beat,
     Renew,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -88,6 +88,7 @@
         started,
         role: Role::Replica,
         size: 1.0,
+        lot: u64::from(member),
     }
 }
 
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,231 @@
+//! Many fronts on one virtual clock: what a fleet does to members that all of it shares, as sums over the fleet.
+mod common;
+use asterreel::interface::*;
+use asterreel::policy::Router;
+use common::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const SECOND: Micros = 1_000 * MS;
+/// What a member works on a request, and how long a probe takes there and back.
+const WORK: Micros = 30 * MS;
+const TRIP: Micros = 2 * MS;
+/// How old a load report is.
+const REPORT_AGE: Micros = 150 * MS;
+const MEMBERS: u32 = 5;
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Next {
+    Arrival,
+    Wake(usize),
+    Answer(usize, u64, u32),
+    Report(usize, u32),
+}
+
+/// Some fronts of groups of [`MEMBERS`], the first of each its primary; the others are in step with it.
+struct World {
+    now: Micros,
+    fronts: Vec<Router>,
+    groups: u32,
+    events: BinaryHeap<Reverse<(Micros, u64, Next)>>,
+    number: u64,
+    rng: fastrand::Rng,
+    classes: BTreeMap<u64, usize>,
+    attempts: BTreeMap<(usize, u64), u32>,
+    /// By member and 100 ms.
+    probes: BTreeMap<(u32, Micros), u32>,
+    sends: BTreeMap<(usize, u32), u32>,
+    arrived: u32,
+    refused: u32,
+}
+
+impl World {
+    fn new(fronts: u32, groups: u32, seed: u64) -> World {
+        let list: std::sync::Arc<[Entry]> = (0..groups * MEMBERS)
+            .map(|m| {
+                let role = if m % MEMBERS == 0 { Role::Primary } else { Role::Replica };
+                let group = GroupId(u64::from(m / MEMBERS));
+                Entry {
+                    group,
+                    role,
+                    lot: u64::from(m).wrapping_mul(0x9E37_79B9),
+                    ..entry(m, EntryState::On, 0)
+                }
+            })
+            .collect();
+        let settings = Settings { fleet: fronts, checks: Checks::None, ..settings() };
+        let router = |n| Router::new(settings.clone(), seed * 1_000 + n, START).expect("good settings");
+        let mut world = World {
+            now: START,
+            fronts: (0..u64::from(fronts)).map(router).collect(),
+            groups,
+            events: BinaryHeap::new(),
+            number: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            classes: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            sends: BTreeMap::new(),
+            arrived: 0,
+            refused: 0,
+        };
+        for front in 0..world.fronts.len() {
+            world.feed(front, Event::Listed(ListKind::WarmCopy, list.clone()));
+        }
+        world
+    }
+
+    fn later(&mut self, after: Micros, next: Next) {
+        self.number += 1;
+        self.events.push(Reverse((self.now + after, self.number, next)));
+    }
+
+    fn feed(&mut self, front: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.fronts[front].handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send(request, member, _) => {
+                    let class = self.classes[&request.0];
+                    *self.sends.entry((class, member.0)).or_default() += 1;
+                    *self.attempts.entry((front, request.0)).or_default() += 1;
+                    self.later(WORK, Next::Answer(front, request.0, member.0));
+                }
+                Action::Probe(member) => {
+                    *self.probes.entry((member.0, self.now / (100 * MS))).or_default() += 1;
+                    self.later(TRIP, Next::Report(front, member.0));
+                }
+                Action::WakeAfter(after) => self.later(after, Next::Wake(front)),
+                Action::Refuse(..) | Action::Fail(_) => self.refused += 1,
+                Action::Cancel(..) | Action::Watch | Action::Remark(..) => {}
+            }
+        }
+    }
+
+    /// Plays so long with so many requests a second of the whole fleet.
+    fn play(&mut self, span: Micros, rate: u64) {
+        let end = self.now + span;
+        self.later(1, Next::Arrival);
+        while self.events.peek().is_some_and(|event| event.0 .0 < end) {
+            let Some(Reverse((at, _, next))) = self.events.pop() else { break };
+            self.now = at;
+            match next {
+                Next::Arrival => {
+                    let wait = -(1.0 - self.rng.f64()).ln() * 1e6 / rate as f64;
+                    self.later(wait as Micros + 1, Next::Arrival);
+                    self.arrive();
+                }
+                Next::Wake(front) => self.feed(front, Event::Wake),
+                Next::Answer(front, request, member) => {
+                    let attempt = self.attempts[&(front, request)] - 1;
+                    let note = note(role(member), self.now - 5 * MS);
+                    let ended = ended(RequestId(request), attempt, Outcome::Served, WORK, note);
+                    self.feed(front, Event::Ended(ended));
+                }
+                Next::Report(front, member) => {
+                    let report = note(role(member), self.now - REPORT_AGE);
+                    self.feed(front, Event::Probed(MemberId(member), Outcome::Served, report));
+                }
+            }
+        }
+        self.now = end;
+    }
+
+    fn arrive(&mut self) {
+        self.arrived += 1;
+        let front = self.rng.usize(0..self.fronts.len());
+        let class = match self.rng.u32(0..100) {
+            0..80 => BOUNDED,
+            80..84 => ANY,
+            _ => WRITE,
+        };
+        let request = u64::from(self.arrived);
+        let group = GroupId(u64::from(self.rng.u32(0..self.groups)));
+        self.classes.insert(request, class);
+        self.feed(
+            front,
+            Event::Arrive(Arrival {
+                request: RequestId(request),
+                class: ClassId(class),
+                tenant: TenantId(0),
+                session: None,
+                due: self.now + 2 * SECOND,
+                estimate: None,
+                group,
+                since_write: None,
+            }),
+        );
+    }
+
+    fn sent(&self, class: usize, to: impl Fn(u32) -> bool) -> u32 {
+        let sends = self.sends.iter().filter(|((of, member), _)| *of == class && to(*member));
+        sends.map(|(_, count)| count).sum()
+    }
+
+    fn probes(&self) -> u32 {
+        self.probes.values().sum()
+    }
+}
+
+fn role(member: u32) -> Role {
+    if member % MEMBERS == 0 {
+        Role::Primary
+    } else {
+        Role::Replica
+    }
+}
+
+fn is_primary(member: u32) -> bool {
+    role(member) == Role::Primary
+}
+
+/// Seen: at a hundred fronts 88% of bounded reads went to the primaries, as no front knew a standby's position
+/// as young as the bound; a fifth was refused unsent, while each member was probed eight times a second for nothing.
+#[test]
+fn reads_of_a_large_fleet_stay_off_the_primaries_and_are_not_refused() {
+    for seed in 1..=3 {
+        let mut world = World::new(100, 12, seed);
+        world.play(10 * SECOND, 1_400);
+        let reads = world.sent(BOUNDED, |_| true);
+        let spilled = world.sent(BOUNDED, is_primary);
+        assert!(spilled * 50 < reads, "seed {seed}: {spilled} of {reads} reads on primaries");
+        assert!(world.refused * 50 < world.arrived, "seed {seed}: {} refused", world.refused);
+        // At most one question a bounded read, and none for anything else.
+        let asked = world.probes();
+        assert!(asked < reads, "seed {seed}: {asked} probes for {reads} reads");
+        for member in (0..12 * MEMBERS).filter(|member| !is_primary(*member)) {
+            let share = world.sent(BOUNDED, |to| to == member);
+            // One standby in four takes the any-reads.
+            assert!(share < reads / (12 * 2), "seed {seed}: {share} of {reads} reads on {member}");
+        }
+    }
+}
+
+/// Seen: a hundred fronts spread any-reads over all standbys, where each holds back what is applied; nearly all of
+/// them fell too far behind for bounded reads now and then.
+#[test]
+fn any_reads_of_a_large_fleet_gather_on_one_standby_of_each_group() {
+    for seed in 1..=3 {
+        let mut world = World::new(100, 12, seed);
+        world.play(10 * SECOND, 1_400);
+        let reports = world.sent(ANY, |_| true);
+        let most = |group| (0..MEMBERS).map(|m| world.sent(ANY, |to| to == group * MEMBERS + m)).max();
+        let gathered: u32 = (0..12).filter_map(most).sum();
+        assert!(gathered * 20 >= reports * 19, "seed {seed}: {gathered} of {reports}");
+    }
+}
+
+/// A start from the warm copy probes nobody until it needs to, or a restart of all would probe each member at once.
+#[test]
+fn a_large_fleet_that_starts_at_once_probes_only_what_it_needs() {
+    let mut world = World::new(100, 12, 1);
+    world.play(100 * MS, 1_400);
+    // Each front looks at each member once in 12.5 s, of which a tenth of a second passes here; the rest is asked.
+    let looks = 100 * 12 * MEMBERS / 125;
+    let (probes, most) = (world.probes(), world.arrived + 2 * looks);
+    assert!(probes <= most, "{probes} probes for {} requests", world.arrived);
+    // A small one knows all members before the first request, as it did.
+    let mut world = World::new(3, 2, 1);
+    world.play(100 * MS, 100);
+    assert!(world.probes() >= 3 * 2 * MEMBERS);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -90,8 +90,15 @@
     settings.checks = Checks::None;
     let mut front = Front::ready(settings, 3);
     front.now += 400 * MS;
-    let (_, actions) = front.arrive(BOUNDED);
-    assert_eq!(sends(&actions)[0].1, 0);
+    let (read, mut actions) = front.arrive(BOUNDED);
+    assert!(actions.iter().any(|a| matches!(a, Action::Probe(_))));
+    assert_eq!(sends(&actions), [], "a standby is asked first how far it is");
+    for member in [1, 2] {
+        assert_eq!(sends(&actions), [], "one is left to hear from");
+        front.now += MS;
+        actions = front.tell_behind(member, Role::Replica, 350 * MS);
+    }
+    assert_eq!(sends(&actions), [(read, 0)], "all that were asked are behind");
 }
 
 #[test]
