Give cold members of a large fleet the room that their group's load shows

Reads spilled without bound on primaries that had the writes to do (bookings 215 ms, 30 time-outs in 2 s). Nine tenths of a probe were paid for each first try.

At fault: Router::cold_credit and survey (a member's best second, taken every 12.5 s in a fleet of a hundred; the least of one send in 25 s a front was all that was left), asks (a silent member was asked at once again), pick.

Change: cold room is COLD_SAFETY x fall multiple x warmth x what a member of the group carries on the mean, each front by its own answers, which add up; silent members are asked half as often each time; a primary takes its part of the reads without a question, reads spill by at most two members' part and never on a cold one; a refused connection weighs two errors in a large fleet; only failed members are surveyed there.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,7 +3,7 @@
 //! It decides, from the size of the fleet alone, how far apart in time this front does what each front does at
 //! every member. It never asks who the other fronts are or what they do.
 
-use crate::interface::{Micros, Settings};
+use crate::interface::{Micros, Outcome, Settings};
 
 /// Fronts that may each keep a pace at one member; a larger fleet shares what these would do. Ours.
 const FRONTS_AT_PACE: f64 = 8.0;
@@ -46,17 +46,53 @@
     (settings.cold_share + (1.0 - settings.cold_share) * ramp).min(1.0)
 }
 
-/// Sends saved up for a cold member.
+/// Over what time the work that a group carries is averaged, microseconds: long beside a release of servers, in
+/// which it must not be learned anew. Ours.
+const CARRIED_OVER: Micros = 30_000_000;
+/// The least time that an average is taken over: the first answers come in a burst. Ours.
+const CARRIED_LEAST: Micros = 2_000_000;
+
+/// What a group's members have carried for this front, in work of the lightest class: only what was answered, so
+/// that a crowd of requests does not look like room. Each front's own part, however little and chancy, adds up to
+/// what the group carries for the fleet.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Carried {
+    work: f64,
+    since: Option<Micros>,
+    at: Micros,
+}
+
+impl Carried {
+    /// An answer to a request of so much work.
+    pub fn answered(&mut self, now: Micros, work: f64) {
+        self.since.get_or_insert(now);
+        self.work = self.left(now) + work;
+        self.at = now;
+    }
+
+    fn left(&self, now: Micros) -> f64 {
+        self.work * (-(now.saturating_sub(self.at) as f64) / CARRIED_OVER as f64).exp()
+    }
+
+    /// Work a microsecond.
+    pub fn rate(&self, now: Micros) -> f64 {
+        let age = self.since.map_or(0, |since| now.saturating_sub(since)).max(CARRIED_LEAST) as f64;
+        let over = CARRIED_OVER as f64;
+        self.left(now) / (over * (1.0 - (-age / over).exp()))
+    }
+}
+
+/// Sends saved up for a member that must not get all that it might: a cold one, or a primary that takes reads.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ColdCredit {
+pub struct Credit {
     credit: f64,
     at: Micros,
 }
 
-impl ColdCredit {
+impl Credit {
     /// Some credit to start with, less than a whole send: drawn, so that fronts do not all start with one.
-    pub fn starting(credit: f64, at: Micros) -> ColdCredit {
-        ColdCredit { credit, at }
+    pub fn starting(credit: f64, at: Micros) -> Credit {
+        Credit { credit, at }
     }
 
     /// What is saved up at a time, earning so many sends a microsecond, spent within a span.
@@ -71,3 +107,45 @@
         }
     }
 }
+
+/// Latency over wanted time above which a limit shrinks or a share stops growing. Ours.
+pub const PRESSED: f64 = 0.6;
+/// Latency over wanted time of answers above which late ones speak of load, not of single members. Ours.
+pub const LOADED: f64 = 0.35;
+/// Share of a newly measured value in a running mean. Ours.
+const LEARN: f64 = 0.1;
+/// Share of arriving reads taken: what a late answer takes off, one in good time adds, and the least. Ours.
+const SHARE_LOSS: f64 = 0.15;
+const SHARE_GAIN: f64 = 0.02;
+const SHARE_FLOOR: f64 = 0.2;
+
+/// What a front's attempts at some members, taken together, say of their load.
+pub struct Flow {
+    /// Share of arriving reads taken.
+    pub share: f64,
+    /// Running mean of latency over wanted time, of answers.
+    pub pressure: f64,
+}
+
+impl Default for Flow {
+    fn default() -> Flow {
+        Flow { share: 1.0, pressure: 0.0 }
+    }
+}
+
+impl Flow {
+    /// Takes in how an attempt ended, in what part of the wanted time; `told` says that the time can be trusted,
+    /// `thin` that limits in flight can't act here.
+    pub fn learn(&mut self, outcome: Outcome, ratio: f64, told: bool, thin: bool) {
+        let served = outcome == Outcome::Served;
+        if served && told {
+            self.pressure += LEARN * (ratio - self.pressure);
+        }
+        let late = outcome == Outcome::TimedOut || served && ratio >= 1.0;
+        if served && ratio < PRESSED {
+            self.share = (self.share + SHARE_GAIN).min(1.0);
+        } else if thin && told && (late && self.pressure > LOADED || outcome == Outcome::Full) {
+            self.share = (self.share * (1.0 - SHARE_LOSS)).max(SHARE_FLOOR);
+        }
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,7 +16,7 @@
 //!    and grows with answers.
 //! 10. A further attempt goes out only within what the outcomes prove, and from a budget.
 
-use crate::fleet::{self, ColdCredit, Fleet};
+use crate::fleet::{self, Credit, Fleet, LOADED, PRESSED};
 use crate::interface::*;
 use crate::state::*;
 use std::cmp::Reverse;
@@ -40,7 +40,7 @@
 const RETRY_EARNED: f64 = 0.1;
 const RETRY_SAVED: f64 = 20.0;
 /// Share of the fall multiple that we let ourselves use; the rest covers others' sends and bad guesses. Ours.
-const COLD_SAFETY: f64 = 0.35;
+const COLD_SAFETY: f64 = 0.8;
 /// Attempts in flight that a member may start with, and the least the limit shrinks to. Ours.
 const LIMIT_START: f64 = 8.0;
 const LIMIT_LEAST: f64 = 2.0;
@@ -48,26 +48,20 @@
 const RAMP_START: f64 = 4.0;
 /// Share of errors among all answers from which they are no longer taken for their member's own. Ours.
 const ERRORS_APART: f64 = 0.3;
-/// Latency over wanted time above which a member's limit shrinks; below three quarters, it may grow. Ours.
-const PRESSED: f64 = 0.6;
-/// Share of arriving reads taken: what a late answer takes off, one in good time adds, and the least. Ours.
-const SHARE_LOSS: f64 = 0.15;
-const SHARE_GAIN: f64 = 0.02;
-const SHARE_FLOOR: f64 = 0.2;
 /// Own attempts a member, of a large fleet, below which the share acts; above, limits in flight do. Ours.
 const THIN_MOST: f64 = 2.0;
 /// How long a bounded read waits for word from a standby, and after which silence the next one is asked,
 /// microseconds: a connection and a round trip, twice, and little beside a wanted time. Ours.
 const ASK_PATIENCE: Micros = 60_000;
 const ASK_AGAIN: Micros = 25_000;
-/// Latency over wanted time of answers above which late ones speak of load, not of single members. Ours.
-const LOADED: f64 = 0.35;
 /// Late worth below which a read is not worth room once its wanted time can't be met. Ours.
 const WORTH_LATE: f64 = 0.5;
 /// Time that a write into a socket may take, microseconds: a bound counts from a send's last byte. Ours.
 const WRITE_TAKES: Micros = 2_000;
 /// Share of the active member's limit open to reads spilled on it. Ours.
 const SPILL_SHARE: f64 = 0.5;
+/// What reads of a large fleet spill on it at most: what so many members of its group get on the mean. Ours.
+const SPILL_MEMBERS: f64 = 2.0;
 /// While requests are open a timer comes at least this often; one later by the second was held up here. Ours.
 const BEAT: Micros = 100_000;
 const STALL: Micros = 150_000;
@@ -229,7 +223,7 @@
         if is_new || member.started < entry.started {
             // A process that has started anew is cold, excused, and holds no role we knew of.
             member.started = entry.started;
-            member.cold = ColdCredit::starting(chance, now);
+            member.cold = Credit::starting(chance, now);
             (member.errors, member.mute) = (0, false);
             member.verified = proven;
             self.unmark(id);
@@ -250,11 +244,11 @@
             return;
         }
         self.unmark(id);
-        self.part(id);
+        self.forget_gone(id);
     }
 
     /// Forgets a member that is gone and owes nothing.
-    fn part(&mut self, id: MemberId) {
+    fn forget_gone(&mut self, id: MemberId) {
         let Some(member) = self.members.get(&id) else { return };
         let over = member.state == EntryState::Gone && member.in_flight == 0;
         if over && member.drain_binds(&self.settings) {
@@ -285,18 +279,12 @@
         self.out.push(Action::Probe(id));
     }
 
-    /// About once a second: a probe, and how much a warm member of the group carries from here.
+    /// About once a second: a probe.
     fn survey(&mut self, id: MemberId) {
         let every = self.fleet.pace(PROBE_EVERY);
-        let Some(member) = self.members.get_mut(&id) else { return };
-        let rate = f64::from(std::mem::take(&mut member.served)) * 1e6 / every as f64;
-        if member.warmth(&self.settings, self.now) >= 1.0 {
-            let group = self.groups.entry(member.group);
-            group.and_modify(|g| g.peak_rate = rate.max(g.peak_rate * (1.0 - LEARN / 10.0)));
-        }
+        let Some(member) = self.members.get(&id) else { return };
         // Of a large fleet each front is told enough by answers and by asking when it needs to know.
-        let heard = self.members.get(&id).is_some_and(|m| self.now.saturating_sub(m.heard_at) < every);
-        if !self.fleet.is_large() || !heard {
+        if !self.fleet.is_large() || member.failed() {
             self.probe(id);
         }
         let jitter = self.rng.u64(0..every / 5);
@@ -306,6 +294,7 @@
     fn probed(&mut self, id: MemberId, outcome: Outcome, report: Note) {
         let Some(member) = self.members.get_mut(&id) else { return };
         member.probe_out = false;
+        member.unheard = if outcome == Outcome::Served { 0 } else { member.unheard + 1 };
         let (group, asked) = (member.group, member.probed_at);
         if outcome == Outcome::Served {
             member.verified = true;
@@ -349,10 +338,11 @@
                 (member.errors, member.mute, member.verified) = (0, false, true);
                 member.quiet_since = now;
                 if ended.outcome == Outcome::Served && told {
-                    member.served += 1;
                     member.pace.learn(ended.latency, LEARN);
                     member.adapt_limit(ratio, now);
                     self.paces[class].learn(ended.latency, LEARN);
+                    let (group, work) = (member.group, self.work(class));
+                    self.groups.entry(group).and_modify(|g| g.carried.answered(now, work));
                 }
             }
             Outcome::Full | Outcome::Error => {
@@ -380,7 +370,13 @@
             }
             // It answered, and what it turned away says nothing of it: a client may send such by the hundred.
             Outcome::Unusable => member.quiet_since = now,
-            Outcome::ConnectFailed | Outcome::Reset => self.count_error(id),
+            Outcome::ConnectFailed | Outcome::Reset => {
+                // Where each front hears little, a connection refused weighs as much as two other errors.
+                if ended.outcome == Outcome::ConnectFailed && self.fleet.is_large() {
+                    member.errors = member.errors.saturating_add(1).min(FAIL_POINT - 1);
+                }
+                self.count_error(id);
+            }
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
     }
@@ -393,16 +389,7 @@
         let Some(group) = group.and_then(|id| self.groups.get_mut(&id)) else { return };
         group.in_flight = group.in_flight.saturating_sub(1);
         let flow = &mut group.flows[usize::from(group.active == Some(id))];
-        let (served, told) = (outcome == Outcome::Served, self.stalled_at != self.now);
-        if served && told {
-            flow.pressure += LEARN * (ratio - flow.pressure);
-        }
-        let late = outcome == Outcome::TimedOut || served && ratio >= 1.0;
-        if served && ratio < PRESSED {
-            flow.share = (flow.share + SHARE_GAIN).min(1.0);
-        } else if thin && told && (late && flow.pressure > LOADED || outcome == Outcome::Full) {
-            flow.share = (flow.share * (1.0 - SHARE_LOSS)).max(SHARE_FLOOR);
-        }
+        flow.learn(outcome, ratio, self.stalled_at != self.now, thin);
     }
 
     /// This front holds so few attempts a member that limits in flight cannot act.
@@ -609,7 +596,7 @@
             self.try_again(id, &ended);
         }
         self.serve(group);
-        self.part(member);
+        self.forget_gone(member);
     }
 
     /// A further attempt, within limit, time and what outcomes prove; budgeted unless the last was cheap.
@@ -706,9 +693,10 @@
         self.settings.classes[class].worth / self.paces[class].mean.max(1.0)
     }
 
-    /// The latency of the class that is answered soonest.
-    fn lightest(&self) -> f64 {
-        self.paces.iter().map(|pace| pace.mean).fold(f64::INFINITY, f64::min).max(1.0)
+    /// How many times the work of the lightest class it is, as far as latency tells the work.
+    fn work(&self, class: usize) -> f64 {
+        let lightest = self.paces.iter().map(|pace| pace.mean).fold(f64::INFINITY, f64::min);
+        (self.paces[class].mean / lightest.max(1.0)).max(1.0)
     }
 
     /// With no usable active member one waiting request at a time looks for the primary, since a miss proves
@@ -815,14 +803,14 @@
         f64::from(member.in_flight) < limit.max(1.0)
     }
 
-    /// Sends saved up for a cold member. What a warm one carries from here is the guide to its capacity,
-    /// so each front takes its own part; a large fleet divides the least of one send for each span.
+    /// Sends saved up for a cold member: all fronts together add a share of what one of its group carries for them
+    /// on the mean. A large fleet divides the least of one send for each span.
     fn cold_credit(&self, member: &Member) -> f64 {
         let span = self.settings.fall_for.max(1);
-        let rate = self.groups.get(&member.group).map_or(0.0, |group| group.peak_rate);
-        let carried = COLD_SAFETY * self.settings.fall_multiple * rate / 1e6;
-        let per_micro = carried * member.warmth(&self.settings, self.now);
-        member.cold.saved(self.now, per_micro.max(1.0 / self.fleet.pace(span) as f64), span)
+        let share = COLD_SAFETY * self.settings.fall_multiple * member.warmth(&self.settings, self.now);
+        let each = |group: &Group| group.carried.rate(self.now) / group.members.len().max(1) as f64;
+        let part = share * self.groups.get(&member.group).map_or(0.0, each);
+        member.cold.saved(self.now, part.max(1.0 / self.fleet.pace(span) as f64), span)
     }
 
     fn cold_room(&self, member: &Member) -> bool {
@@ -849,10 +837,18 @@
         let standbys = open.filter(|m| Some(m.id) != group.active && self.healthy(m));
         let mut in_sync: Vec<&Member> = standbys.filter(|m| self.in_sync(request, m, stalled)).collect();
         // Standbys that lag leave few in sync, and those crowded: a quick active member takes the rest.
-        let spilled = |may: bool| active(SPILL_SHARE).filter(|_| may && self.welcome(request, true));
+        let warm =
+            |id: &MemberId| self.members.get(id).is_some_and(|m| m.warmth(&self.settings, self.now) >= 1.0);
+        let room = !self.fleet.is_large() || request.luck < SPILL_MEMBERS / group.members.len() as f64;
+        let spilled = |may: bool| {
+            active(SPILL_SHARE).filter(|id| may && room && warm(id) && self.welcome(request, true))
+        };
         let quick = group.flows[1].pressure < LOADED;
         if in_sync.is_empty() && self.asks(request).is_some() {
-            return None;
+            // The active member has room for its part of the reads without a question.
+            return spilled(
+                quick && self.fleet.is_large() && request.luck < 1.0 / group.members.len() as f64,
+            );
         }
         if in_sync.is_empty() || !self.welcome(request, false) {
             return spilled(in_sync.is_empty() || quick);
@@ -882,7 +878,9 @@
         let stale = self.settings.bounds[request.class()] / 2;
         let standbys = self.members_of(group).filter(|m| Some(m.id) != group.active && self.healthy(m));
         let open = standbys.filter(|m| self.may_go(request, m));
-        let old = |m: &&Member| m.probe_out || self.now.saturating_sub(m.heard_at.max(m.probed_at)) >= stale;
+        let old = |m: &&Member| {
+            m.probe_out || self.now.saturating_sub(m.heard_at.max(m.probed_at)) >= stale << m.unheard.min(6)
+        };
         let mut open: Vec<&Member> = open.filter(old).collect();
         if let Some(asked) = open.iter().find(|m| m.probe_out && m.probed_at + ASK_AGAIN > self.now) {
             return Some((asked.id, true));
@@ -954,14 +952,14 @@
         let trial_at = now.saturating_add(self.fleet.pace(PROBE_EVERY));
         let credit = self.members.get(&to).map_or(0.0, |m| self.cold_credit(m));
         // What a warm member was seen to carry is mostly of the lightest class: long work counts for more.
-        let cost = (self.paces[request.class()].mean / self.lightest()).max(1.0);
+        let cost = self.work(request.class());
         if let Some(member) = self.members.get_mut(&to) {
             member.trial_at = trial_at;
             if member.in_flight == 0 && !member.mute {
                 member.quiet_since = now;
             }
             member.in_flight += 1;
-            member.cold = ColdCredit::starting(credit - cost, now);
+            member.cold = Credit::starting(credit - cost, now);
             let group = self.groups.entry(member.group);
             group.and_modify(|group| group.in_flight += 1);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a router keeps in mind, without any decision: records, a running mean, an agenda, session commits.
 
-use crate::fleet::ColdCredit;
+use crate::fleet::{Carried, Credit, Flow};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -52,6 +52,8 @@
     /// It has answered something since it was listed or restarted.
     pub verified: bool,
     pub probe_out: bool,
+    /// Probes in a row that brought no report.
+    pub unheard: u32,
     pub probed_at: Micros,
     /// It turned a write away: what it was asked before then does not show it to be the primary.
     pub doubted_until: Micros,
@@ -71,10 +73,8 @@
     /// Most own attempts in flight.
     pub limit: f64,
     pub limit_moved: Micros,
-    /// Answers since the last survey.
-    pub served: u32,
     /// Sends saved up while cold.
-    pub cold: ColdCredit,
+    pub cold: Credit,
 }
 
 impl Member {
@@ -91,27 +91,13 @@
     }
 }
 
-/// What a front's attempts at some members, taken together, say of their load.
-pub struct Flow {
-    /// Share of arriving reads taken.
-    pub share: f64,
-    /// Running mean of latency over wanted time, of answers.
-    pub pressure: f64,
-}
-
-impl Default for Flow {
-    fn default() -> Flow {
-        Flow { share: 1.0, pressure: 0.0 }
-    }
-}
-
 /// One primary and its replicas, and the requests that wait for them.
 #[derive(Default)]
 pub struct Group {
     pub members: Vec<MemberId>,
     pub active: Option<MemberId>,
-    /// Most answers a second that a warm member has given to this front.
-    pub peak_rate: f64,
+    /// What its members carry for this front.
+    pub carried: Carried,
     pub searched_at: Micros,
     /// Own attempts that are out.
     pub in_flight: u32,
