Let the cold credit of thin fronts hold for a whole span, and use all of the fall multiple

Checked: the part earned was 25 a second; 40% of it lapsed within half a span, as a front sees one request a second. At fault: Credit::saved.

Change: a whole credit lapses after one span, no longer half; COLD_SAFETY 0.8 -> 1.0 of multiple x warmth x mean load.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -99,8 +99,8 @@
     pub fn saved(&self, now: Micros, per_micro: f64, span: Micros) -> f64 {
         let earned = now.saturating_sub(self.at) as f64 * per_micro;
         let (credit, burst) = (self.credit + earned, per_micro * span as f64 / 2.0);
-        // A whole credit of a thin front lapses, or all fronts would save one up and spend it together.
-        if credit.max(0.0).fract() > burst {
+        // A whole credit of a thin front lapses after a span, or all would save one up and spend it together.
+        if credit.max(0.0).fract() > 2.0 * burst {
             credit.fract()
         } else {
             credit.min(burst.max(1.0))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,7 +40,7 @@
 const RETRY_EARNED: f64 = 0.1;
 const RETRY_SAVED: f64 = 20.0;
 /// Share of the fall multiple that we let ourselves use; the rest covers others' sends and bad guesses. Ours.
-const COLD_SAFETY: f64 = 0.8;
+const COLD_SAFETY: f64 = 1.0;
 /// Attempts in flight that a member may start with, and the least the limit shrinks to. Ours.
 const LIMIT_START: f64 = 8.0;
 const LIMIT_LEAST: f64 = 2.0;
