--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -167,7 +167,8 @@
     /// The calls of one front of a fleet; a list that is not asked for counts as told after `ask_every`.
     pub fn new(fleet: Fleet, ask_every: Micros) -> Calls {
         let first = fleet.pace(RENEW_FIRST);
-        Calls { fleet, first, most: fleet.pace((ask_every / 4).max(RENEW_FIRST)), wait: first }
+        let most = (ask_every / 4).max(fleet.pace(ask_every / 16)).max(first);
+        Calls { fleet, first, most, wait: first }
     }
 
     /// The wait before the first call after a start: all fronts may start at once.
@@ -181,7 +182,7 @@
     }
 
     /// The wait before the next call after one failed or a watch was lost; twice as long each time, up to a quarter
-    /// of the ask interval times the sharing. Watches of all fronts are lost together: a large fleet needs all of
+    /// of the ask interval or, if that is longer, a sixteenth times the sharing. Watches of all fronts are lost together: a large fleet needs all of
     /// the time for its calls to fall apart.
     pub fn again(&mut self, rng: &mut fastrand::Rng) -> Micros {
         let wait = self.wait;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,6 +65,8 @@
 const SPILL_SHARE: f64 = 0.5;
 /// What reads of a large fleet spill on it at most: what so many members of its group get on the mean. Ours.
 const SPILL_MEMBERS: f64 = 2.0;
+/// The same for reads sent there without asking a standby first. Ours.
+const UNASKED_MEMBERS: f64 = 1.5;
 /// While requests are open a timer comes at least this often; one later by the second was held up here. Ours.
 const BEAT: Micros = 100_000;
 const STALL: Micros = 150_000;
@@ -847,7 +849,7 @@
         if in_sync.is_empty() && self.asks(request).is_some() {
             // The active member has room for its part of the reads without a question.
             return spilled(
-                quick && self.fleet.is_large() && request.luck < 1.0 / group.members.len() as f64,
+                quick && self.fleet.is_large() && request.luck < UNASKED_MEMBERS / group.members.len() as f64,
             );
         }
         if in_sync.is_empty() || !self.welcome(request, false) {
