--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,8 +54,8 @@
 /// microseconds: a connection and a round trip, twice, and little beside a wanted time. Ours.
 const ASK_PATIENCE: Micros = 60_000;
 const ASK_AGAIN: Micros = 25_000;
-/// How long a front of a large fleet sends no reads to a standby that let one time out, microseconds: with so few
-/// answers a front, the next would tell too late. Ours.
+/// How long a front of a large fleet sends no reads to a standby that let one time out, microseconds: it
+/// has so few answers that the next would tell too late. Ours.
 const SHUN: Micros = 3_000_000;
 /// Late worth below which a read is not worth room once its wanted time can't be met. Ours.
 const WORTH_LATE: f64 = 0.5;
@@ -805,7 +805,7 @@
         f64::from(member.in_flight) < limit.max(1.0)
     }
 
-    /// Sends saved up for a cold member: all fronts together add a share of what one of its group carries for them
+    /// Sends saved up for a cold member: all fronts together add a share of what one of its group carries
     /// on the mean. A large fleet divides the least of one send for each span.
     fn cold_credit(&self, member: &Member) -> f64 {
         let span = self.settings.fall_for.max(1);
