Decide who holds a fleet duty, until when it may act, and fence late actions

Need: duties that one gateway of a fleet should do for all (discovery on the fleet's behalf, probing a member for all) need one holder at a time, handed on safely when the holder stalls, is cut off or drains. Today each gateway does each alone.

Change: src/lease, free of I/O.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod fuzz;
 pub mod health;
 pub mod interface;
+pub mod lease;
 pub mod operator;
 pub mod policy;
 pub mod settings;
