--- a/src/bin/asterreel-operator/main.rs
+++ b/src/bin/asterreel-operator/main.rs
@@ -10,7 +10,9 @@
 use asterreel::cells::quarantine;
 use asterreel::health::drain::{Balancer, Drain};
 use asterreel::health::Knobs;
-use asterreel::operator::{Agent, BadFile, CellBounds, Cells, Evaluated, Health, Listener, Place, Reply};
+use asterreel::operator::{
+    Agent, BadFile, CellBounds, Cells, Evaluated, Health, Lease, Listener, Peer, Place, Reply,
+};
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value as Json};
 use starlark::codemap::FileSpan;
@@ -69,6 +71,7 @@
 struct Collected {
     health: Option<(Health, Place)>,
     cells: Option<(Cells, Place)>,
+    lease: Option<(Lease, Place)>,
     /// The first fault that one of our functions found: an error of the evaluation would lose the key.
     fault: Option<BadFile>,
 }
@@ -102,6 +105,12 @@
         cells.placement = folder.join(&cells.placement);
         evaluated.operator.cells = Some(cells);
     }
+    if let Some((mut lease, place)) = collected.lease {
+        lease.check().map_err(|(key, fault)| place.bad(&format!("lease.{key}"), &fault))?;
+        lease.store = folder.join(&lease.store);
+        evaluated.operator.lease = Some(lease);
+        evaluated.lease_at = Some(place);
+    }
     Ok(evaluated)
 }
 
@@ -393,6 +402,24 @@
         part::<quarantine::Knobs>("quarantine", &arguments, eval)
     }
 
+    /// A gateway that shares the fleet's log.
+    fn peer<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        part::<Peer>("peer", &arguments, eval)
+    }
+
+    /// Duties with one holder in the fleet; called once at most.
+    fn lease<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        let (lease, _, place) = checked::<Lease>("lease", &arguments, eval)?;
+        once("lease", lease, place, |collected| &mut collected.lease);
+        Ok(Value::new_none())
+    }
+
     /// Cells; called once at most.
     fn cells<'v>(
         #[starlark(kwargs)] arguments: DictRef<'v>,
--- a/src/bin/asterreel/cli.rs
+++ b/src/bin/asterreel/cli.rs
@@ -165,7 +165,20 @@
     let config = Config::from_env()?;
     println!("configuration: good ({}, listens on {})", config.name, config.listen);
     let Some(path) = &files.operator else { return Ok(()) };
-    match evaluated.beside(&config)? {
+    let table = evaluated.beside(&config)?;
+    if let Some(lease) = &evaluated.operator.lease {
+        let timing = lease.timing();
+        println!(
+            "{}: lease good; gateway {} of {} peers holds {} for {} ms, others wait {} ms",
+            path.display(),
+            lease.me,
+            lease.peers.len(),
+            lease.duties.join(" and "),
+            lease.lease_ms,
+            timing.wait_us().div_ceil(1000)
+        );
+    }
+    match table {
         Some(table) => {
             let ms = |micros: u64| micros / 1000;
             println!(
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -77,6 +77,12 @@
     let config = Config::from_env()?;
     let evaluated = files.evaluate(cli::EVALUATION)?;
     let table = evaluated.beside(&config)?;
+    if evaluated.operator.lease.is_some() {
+        // The decisions and the settings are there, the log among gateways that would carry them is not.
+        return Err(
+            "lease: this version has no log among gateways to hold leases on; remove `lease(...)`".into()
+        );
+    }
     // One core, so one worker; pinned, all gateways of a machine would share the first core.
     may::config()
         .set_workers(1)
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -23,10 +23,25 @@
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
 
-/// A duty, by its place in the operator's list of duties.
+/// The duties that there are, by name; a [`Duty`] is a place in this list, the same in every version.
+pub const DUTIES: [&str; 2] = ["discovery", "probes"];
+
+/// A duty, by its place in [`DUTIES`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Duty(pub u16);
 
+impl Duty {
+    /// The duty of that name, if there is one.
+    pub fn named(name: &str) -> Option<Duty> {
+        DUTIES.iter().position(|known| *known == name).map(|place| Duty(place as u16))
+    }
+
+    /// Its name; `?` for one that this version does not know.
+    pub fn name(self) -> &'static str {
+        DUTIES.get(usize::from(self.0)).copied().unwrap_or("?")
+    }
+}
+
 /// One life of a gateway: its number in the fleet, and a number drawn when it starts. What a gateway asked for before
 /// a restart is then not taken for its own after it: it can't know when that was asked, on a clock that began anew.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -7,7 +7,7 @@
 
 mod settings;
 
-pub use settings::{Agent, CellBounds, Cells, Health, Listener, Operator};
+pub use settings::{Agent, CellBounds, Cells, Health, Lease, Listener, Operator, Peer};
 
 use crate::config::Config;
 use crate::health::drain::Timetable;
@@ -57,6 +57,9 @@
     pub file: String,
     /// Where it calls `health`.
     pub health_at: Option<Place>,
+    /// Where it calls `lease`.
+    #[serde(default)]
+    pub lease_at: Option<Place>,
 }
 
 /// A call in a file: its text and where it begins.
@@ -109,6 +112,11 @@
 impl Evaluated {
     /// Checks what the file sets beside the gateway's configuration; the drain's timetable where health is on.
     pub fn beside(&self, config: &Config) -> Result<Option<Timetable>, BadFile> {
+        if let Some(lease) = &self.operator.lease {
+            lease
+                .beside(config)
+                .map_err(|(key, fault)| self.bad_in(&self.lease_at, &format!("lease.{key}"), fault))?;
+        }
         let Some(health) = &self.operator.health else { return Ok(None) };
         health.beside(config).map(Some).map_err(|(key, fault)| match &self.health_at {
             Some(place) => place.bad(&qualified(&key), &fault),
@@ -117,6 +125,15 @@
     }
 }
 
+impl Evaluated {
+    fn bad_in(&self, place: &Option<Place>, key: &str, fault: String) -> BadFile {
+        match place {
+            Some(place) => place.bad(key, &fault),
+            None => BadFile { file: self.file.clone(), at: None, key: Some(key.to_owned()), fault },
+        }
+    }
+}
+
 /// A key of `health`, as faults name it.
 pub fn qualified(key: &str) -> String {
     if key == "health" {
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -188,3 +188,57 @@
     assert!(ask(&folder.path().join("nothing")).fault.contains("nothing"));
     assert!(ask(Path::new("/bin/true")).fault.contains("broke off"));
 }
+
+#[test]
+fn each_contradictory_word_about_leases_is_rejected_with_its_key() {
+    let peers = "peers = [peer(id = 1, address = '127.0.0.1:7101'), peer(id = 2, address = '127.0.0.1:7102'), \
+                 peer(id = 3, address = '127.0.0.1:7103'), peer(id = 4, address = '127.0.0.1:7104', voter = False)]";
+    let good =
+        format!("lease(me = 2, listen = '127.0.0.1:7102', store = 'log', duties = ['discovery'], {peers})\n");
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("operator.star");
+    std::fs::write(&path, &good).expect("written");
+    let lease = evaluate(&path).expect("good").operator.lease.expect("set");
+    assert_eq!((lease.me, lease.store.clone(), lease.lease_ms), (2, folder.path().join("log"), 3_000));
+    // Three voters and a learner; the others wait the lease, its drift and the margin.
+    assert_eq!(lease.timing().wait_us(), 3_056_007);
+    let with = |change: &str| format!("lease(me = 2, listen = '127.0.0.1:7102', store = 'log', {change})\n");
+    let one = "peers = [peer(id = 2, address = '127.0.0.1:7102')]";
+    let cases = [
+        (with(&format!("duties = ['discovery'], {one}")), "lease.peers"),
+        (with("duties = ['discovery'], peers = []"), "lease.peers"),
+        (
+            with(&format!("duties = ['discovery'], lease_ms = 1000, renew_ms = 1000, {peers}")),
+            "lease.lease_ms",
+        ),
+        (
+            with(&format!("duties = ['discovery'], lease_ms = 1040, margin_ms = 50, {peers}")),
+            "lease.lease_ms",
+        ),
+        (with(&format!("duties = ['discovery'], drift_ppm = 100000, {peers}")), "lease.drift_ppm"),
+        (with(&format!("duties = ['discovery'], renew_ms = 0, {peers}")), "lease.renew_ms"),
+        (with(&format!("duties = [], {peers}")), "lease.duties"),
+        (with(&format!("duties = ['discover'], {peers}")), "lease.duties[0]"),
+        (with(&format!("duties = ['probes', 'probes'], {peers}")), "lease.duties[1]"),
+        (with(&format!("duties = ['probes'], allow = [], {peers}")), "lease.allow"),
+        (good.replace("me = 2", "me = 9"), "lease.me"),
+        (good.replace("listen = '127.0.0.1:7102'", "listen = '127.0.0.1:7109'"), "lease.listen"),
+        (good.replace("store = 'log'", "store = ''"), "lease.store"),
+        (good.replace("id = 3", "id = 1"), "lease.peers[2].id"),
+        (good.replace("id = 3", "id = 0"), "lease.peers[2].id"),
+        (good.replace("7103'", "7101'"), "lease.peers[2].address"),
+        (good.replace("duties", "dutys"), "lease.dutys"),
+        (
+            good.replace("lease(me = 2, listen = '127.0.0.1:7102'", "lease(listen = '127.0.0.1:7102'"),
+            "lease.me",
+        ),
+        (format!("{good}{good}"), "lease"),
+    ];
+    for (text, key) in cases {
+        let fault = fault(&text);
+        assert_eq!(fault.key.as_deref(), Some(key), "{fault}");
+    }
+    // Where clients connect is no place for peers.
+    let clients = good.replace("7102", "6433");
+    assert_eq!(fault(&clients).key.as_deref(), Some("lease.listen"), "{}", fault(&clients));
+}
