--- a/examples/operator.star
+++ b/examples/operator.star
@@ -22,3 +22,14 @@
 #     bounds = {"alpine": bounds(requests = 100)},
 #     quarantine = quarantine(members = 2),
 # )
+
+# Duties with one holder in the fleet (checked by `asterreel check`; the gateway does not start with it yet):
+#
+# lease(
+#     me = 1,
+#     peers = [peer(id = 1, address = "127.0.0.1:7101"), peer(id = 2, address = "127.0.0.1:7102"),
+#              peer(id = 3, address = "127.0.0.1:7103")],
+#     listen = "127.0.0.1:7101",
+#     store = "lease-log",
+#     duties = ["discovery", "probes"],
+# )
