--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -118,14 +118,13 @@
                 .map_err(|(key, fault)| self.bad_in(&self.lease_at, &format!("lease.{key}"), fault))?;
         }
         let Some(health) = &self.operator.health else { return Ok(None) };
-        health.beside(config).map(Some).map_err(|(key, fault)| match &self.health_at {
-            Some(place) => place.bad(&qualified(&key), &fault),
-            None => BadFile { file: self.file.clone(), at: None, key: Some(key), fault },
-        })
+        health
+            .beside(config)
+            .map(Some)
+            .map_err(|(key, fault)| self.bad_in(&self.health_at, &qualified(&key), fault))
     }
-}
 
-impl Evaluated {
+    /// A fault of a key, placed in the call that sets it where that is known.
     fn bad_in(&self, place: &Option<Place>, key: &str, fault: String) -> BadFile {
         match place {
             Some(place) => place.bad(key, &fault),
