Set up a held duty once in the lease tests

Cause: the read-through found the same five lines that give the first of two gateways the duty in two tests.

--- a/src/lease/member.rs
+++ b/src/lease/member.rs
@@ -341,13 +341,19 @@
         assert!(outs[1].contains(&Action::Act { duty: DUTY, token: Token(3), until: 6_120 }));
     }
 
-    #[test]
-    fn a_holder_renews_before_its_lease_runs_out_and_keeps_it() {
+    /// Two gateways that want the duty, the first holding it from 5 on.
+    fn first_holds() -> [Leases; 2] {
         let mut all = [gateway(1), gateway(2)];
         let mut out = Vec::new();
         all[0].handle(0, Event::Want(DUTY), &mut out);
         commit(&mut all, 5, &proposed(&out));
         all[1].handle(6, Event::Want(DUTY), &mut Vec::new());
+        all
+    }
+
+    #[test]
+    fn a_holder_renews_before_its_lease_runs_out_and_keeps_it() {
+        let mut all = first_holds();
         for now in (1_000..20_000).step_by(1_000) {
             let mut out = Vec::new();
             all[0].handle(now, Event::Tick, &mut out);
@@ -363,11 +369,7 @@
 
     #[test]
     fn a_drain_stops_at_once_and_hands_the_duty_on_without_a_wait() {
-        let mut all = [gateway(1), gateway(2)];
-        let mut out = Vec::new();
-        all[0].handle(0, Event::Want(DUTY), &mut out);
-        commit(&mut all, 5, &proposed(&out));
-        all[1].handle(6, Event::Want(DUTY), &mut Vec::new());
+        let mut all = first_holds();
         let mut out = Vec::new();
         all[0].handle(500, Event::Drain, &mut out);
         assert_eq!(out[0], Action::Stop { duty: DUTY, token: Token(1) });
