Watch a pushing discovery agent from the start of the gateway

The watcher waited for the decision module to ask for a watch, which it does only where discovery must be called, so such a gateway never watched: drains went unheard and from 30 s on almost everything was refused. main.rs now asks the first watch where lists are pushed. A process test fails without it.

--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -28,7 +28,7 @@
 use crate::timer::Timer;
 use asterreel::config::Config;
 use asterreel::health::drain::{Timetable, LAST_ANSWERS};
-use asterreel::interface::ListKind;
+use asterreel::interface::{Discovery, ListKind};
 use clap::Parser;
 use may::net::TcpListener;
 use may::sync::mpsc;
@@ -96,6 +96,11 @@
     let (watches, watches_asked) = mpsc::channel();
     let asked = evaluated.operator.health;
     let source = Arc::new(Source::new(config.discovery, watches.clone()));
+    // A pushing agent is watched from the start: the module asks for watches only where discovery must be called,
+    // and what the agent holds counts as told whether it is watched or not.
+    if config.settings.discovery == Discovery::Push {
+        let _ = watches.send(());
+    }
     let core = Arc::new(Core::new(&config, clock, timer.clone(), probes, watches)?);
     if asked.is_some() || evaluated.operator.cells.is_some() {
         core.observe(&config.settings);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -447,3 +447,50 @@
     assert_eq!(idle.answer().0, "");
     assert!(gateway.process.wait().expect("it ends").success());
 }
+
+/// Where an agent on the gateway's machine pushes the list, the module never asks for a watch: the gateway must
+/// watch the agent from its start, or no drain and no new member is ever heard.
+#[test]
+fn a_pushing_agent_is_watched_from_the_start() {
+    let agent = listen();
+    let config = EXAMPLE
+        .replace("\"Discovery\": \"subscribe\"", "\"Discovery\": \"automatic\"")
+        .replace("127.0.0.1:8500", &agent.local_addr().expect("bound").to_string())
+        .replace("127.0.0.1:6433", "127.0.0.1:0");
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    file.write_all(config.as_bytes()).expect("written");
+    let process = Command::new(env!("CARGO_BIN_EXE_asterreel"))
+        .env("RELAY_CONFIG", file.path())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the gateway starts");
+    let mut gateway = Gateway {
+        process,
+        address: "127.0.0.1:0".parse().expect("an address"),
+        seen: sync_channel(1).1,
+        file,
+        config,
+    };
+    // Not a race: the gateway either calls or does not, and 20 s is far beyond a start on a slow machine.
+    agent.set_nonblocking(true).expect("a listener");
+    let until = Instant::now() + Duration::from_secs(20);
+    let call = loop {
+        match agent.accept() {
+            Ok((call, _)) => break Some(call),
+            Err(error) if error.kind() == ErrorKind::WouldBlock && Instant::now() < until => {
+                thread::sleep(Duration::from_millis(20))
+            }
+            Err(_) => break None,
+        }
+    };
+    let mut call = call.expect("the gateway watches the agent unasked");
+    call.set_nonblocking(false).expect("blocking");
+    let mut head = [0; 32];
+    call.read_exact(&mut head).expect("a call");
+    assert!(
+        head.starts_with(b"GET /v1/servers?watch=1&after="),
+        "a watch: {:?}",
+        String::from_utf8_lossy(&head)
+    );
+    let _ = gateway.process.kill();
+}
