Start the pushing-agent test's gateway through the same spawn as the others

The new process test copied the file-and-spawn tail of start_logging and killed its gateway by hand although Drop does. Both now call one spawn(); the test's assertions are unchanged.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -77,6 +77,11 @@
     let [.., high, low] = std::process::id().to_be_bytes();
     let address = SocketAddr::from(([127, 64 + STARTED.fetch_add(1, Ordering::Relaxed), high, low], 6433));
     config = config.replace("127.0.0.1:6433", &address.to_string());
+    spawn(config, address, seen, log)
+}
+
+/// The gateway's process, reading this configuration from a file of its own.
+fn spawn(config: String, address: SocketAddr, seen: Receiver<Vec<u8>>, log: Stdio) -> Gateway {
     let mut file = tempfile::NamedTempFile::new().expect("a file");
     file.write_all(config.as_bytes()).expect("written");
     let process = Command::new(env!("CARGO_BIN_EXE_asterreel"))
@@ -457,20 +462,8 @@
         .replace("\"Discovery\": \"subscribe\"", "\"Discovery\": \"automatic\"")
         .replace("127.0.0.1:8500", &agent.local_addr().expect("bound").to_string())
         .replace("127.0.0.1:6433", "127.0.0.1:0");
-    let mut file = tempfile::NamedTempFile::new().expect("a file");
-    file.write_all(config.as_bytes()).expect("written");
-    let process = Command::new(env!("CARGO_BIN_EXE_asterreel"))
-        .env("RELAY_CONFIG", file.path())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the gateway starts");
-    let mut gateway = Gateway {
-        process,
-        address: "127.0.0.1:0".parse().expect("an address"),
-        seen: sync_channel(1).1,
-        file,
-        config,
-    };
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let _gateway = spawn(config, address, sync_channel(1).1, Stdio::null());
     // Not a race: the gateway either calls or does not, and 20 s is far beyond a start on a slow machine.
     agent.set_nonblocking(true).expect("a listener");
     let until = Instant::now() + Duration::from_secs(20);
@@ -492,5 +485,4 @@
         "a watch: {:?}",
         String::from_utf8_lossy(&head)
     );
-    let _ = gateway.process.kill();
 }
