Gather only reads that hold up applying; spread the rest over all standbys

Cause: gather in src/policy.rs sent every read that any member may answer to the standbys furthest behind, half of them at most, and held or refused it when those were pressed. Change: a class gathers only if it is long (twice the work of the lightest class and 100 ms) and its answers left the standby behind by half of their time; told by latencies and positions alone.

--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -549,10 +549,7 @@
                     let finished = served || !owed;
                     let made = attempts.get(attempt.0 as usize);
                     let (sent, member) = made.map_or((received, None), |made| (made.0, Some(made.2)));
-                    ran |= matches!(
-                        end.outcome,
-                        Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
-                    );
+                    ran |= !served && !end.outcome.proves_nothing_ran();
                     if let (Some(placed), Some(member)) = (&placed, member) {
                         placed.attempted(member, end.outcome);
                         victims.extend((end.outcome == Outcome::Reset).then_some(member));
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -151,6 +151,48 @@
     }
 }
 
+/// Attempts in flight that a member may start with, and the least the limit shrinks to. Ours.
+const LIMIT_START: f64 = 8.0;
+const LIMIT_LEAST: f64 = 2.0;
+/// The least time between two reductions of a limit, microseconds: an answer must show what the last one did. Ours.
+const LIMIT_RESTS: Micros = 100_000;
+
+/// How many own attempts in flight keep a member's latency under the wanted time.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    /// Most own attempts in flight.
+    pub most: f64,
+    /// Running mean of latency over wanted time.
+    pub pressure: f64,
+    moved: Micros,
+}
+
+impl Default for Limit {
+    fn default() -> Limit {
+        Limit { most: LIMIT_START, pressure: 0.0, moved: 0 }
+    }
+}
+
+impl Limit {
+    /// Brings the limit down to so many, from where it grows again.
+    pub fn lower(&mut self, most: f64) {
+        self.most = self.most.min(most);
+    }
+
+    /// Takes in an answer in what part of the wanted time, while so many others were out.
+    pub fn learn(&mut self, ratio: f64, in_flight: u32, now: Micros) {
+        self.pressure += LEARN * (ratio - self.pressure);
+        let reached = f64::from(in_flight + 1);
+        let rested = now.saturating_sub(self.moved) > LIMIT_RESTS;
+        if self.pressure > PRESSED && rested {
+            self.most = (self.most.min(reached) * 0.9).max(LIMIT_LEAST);
+            self.moved = now;
+        } else if self.pressure < PRESSED * 0.75 && reached >= self.most * 0.5 {
+            self.most += 1.0 / self.most.max(1.0);
+        }
+    }
+}
+
 /// First wait before a lost watch is renewed where a front is one of few, microseconds. Ours.
 const RENEW_FIRST: Micros = 200_000;
 /// What a call to discovery may take, microseconds: it answers calls one by one, and fails those that wait longer.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -263,6 +263,14 @@
     Unusable,
 }
 
+impl Outcome {
+    /// Whether it shows that the attempt has had no effect and will have none.
+    pub fn proves_nothing_ran(self) -> bool {
+        use Outcome::*;
+        matches!(self, Full | ConnectFailed | Moot | Miss | Unusable)
+    }
+}
+
 /// Whether a request still waits for its final answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,6 +29,10 @@
 const PROBE_EVERY: Micros = 1_000_000;
 /// Lag above which any-reads gather on a standby, microseconds: many times what shipping takes. Ours.
 const LAG_APART: Micros = 100_000;
+/// Times the work of the lightest class from which a read is long, and the share of long reads that left
+/// their standby far behind from which they are taken to hold up applying. Ours.
+const LONG_WORK: f64 = 2.0;
+const HELD_UP: f64 = 0.5;
 /// How long a lag once heard is taken to hold, microseconds: two probes, so that one may be lost. Ours.
 const LAG_HOLDS: Micros = 2 * PROBE_EVERY;
 /// How often what waits is looked at again and a primary sought, microseconds: misses cost little. Ours.
@@ -40,9 +44,6 @@
 const RETRY_SAVED: f64 = 20.0;
 /// Share of the fall multiple that we let ourselves use, of a mean load that lies below the capacity. Ours.
 const COLD_SAFETY: f64 = 1.0;
-/// Attempts in flight that a member may start with, and the least the limit shrinks to. Ours.
-const LIMIT_START: f64 = 8.0;
-const LIMIT_LEAST: f64 = 2.0;
 /// Most attempts in flight that a new active member starts with, so that held writes do not flood it. Ours.
 const RAMP_START: f64 = 4.0;
 /// Share of errors among all answers from which they are no longer taken for their member's own. Ours.
@@ -93,6 +94,8 @@
     retries: f64,
     calls: Calls,
     error_share: f64,
+    /// By class, the share of its reads after which their standby was far behind.
+    held_up: Vec<f64>,
     stalled_at: Micros,
     beating: bool,
 }
@@ -124,6 +127,7 @@
             retries: RETRY_SAVED,
             calls: Calls::new(Fleet::new(settings.fleet), settings.ask_every),
             error_share: 0.0,
+            held_up: vec![1.0; count],
             stalled_at: 0,
             beating: false,
             settings,
@@ -213,7 +217,6 @@
             let aims = self.settings.classes.iter().map(|class| class.aim);
             let mut member = Member::new(entry, now);
             member.pace = Pace::first_guess(aims.max().unwrap_or(PROBE_EVERY));
-            member.limit = LIMIT_START;
             self.members.insert(id, member);
             let group = self.groups.entry(entry.group).or_default();
             group.waiting.resize(self.paces.len(), VecDeque::new());
@@ -342,7 +345,7 @@
                 member.quiet_since = now;
                 if ended.outcome == Outcome::Served && told {
                     member.pace.learn(ended.latency, LEARN);
-                    member.adapt_limit(ratio, now);
+                    member.limit.learn(ratio, member.in_flight, now);
                     self.paces[class].learn(ended.latency, LEARN);
                     let (group, work) = (member.group, self.work(class));
                     self.groups.entry(group).and_modify(|g| g.carried.answered(now, work));
@@ -361,7 +364,7 @@
                 if late && self.fleet.is_large() {
                     member.shunned_until = now.saturating_add(SHUN);
                 }
-                member.adapt_limit(if late { ratio.max(1.0) } else { ratio }, now);
+                member.limit.learn(if late { ratio.max(1.0) } else { ratio }, member.in_flight, now);
                 let long = ended.latency as f64 >= member.pace.tail();
                 if unheard && long {
                     // Nothing heard for so long weighs as much as two quick errors.
@@ -438,7 +441,7 @@
         let group = group.filter(|_| !member.drain_binds(&self.settings));
         if let Some(group) = group.filter(|group| group.active != Some(id)) {
             group.active = Some(id);
-            member.limit = member.limit.min(RAMP_START);
+            member.limit.lower(RAMP_START);
             self.out.push(Action::Remark(id, Remark::Active));
         }
     }
@@ -563,15 +566,20 @@
         let Some(request) = request.filter(|request| request.attempt_out(number)) else { return };
         let attempt = &mut request.attempts[number];
         attempt.out = false;
-        attempt.may_have_run = !proves_nothing_ran(ended.outcome);
+        attempt.may_have_run = !ended.outcome.proves_nothing_ran();
         let (member, sent) = (attempt.member, attempt.sent);
         let (class, need, group) = (request.class(), request.need, request.arrival.group);
         let session = request.arrival.session;
         self.hear(member, ended.report, sent, false);
         self.judge(member, class, &ended);
         // A write that went through leaves no doubt who is the primary.
-        let wrote = ended.outcome == Outcome::Served && need == Need::Write;
-        self.hear(member, ended.note, sent, wrote);
+        let served = ended.outcome == Outcome::Served;
+        self.hear(member, ended.note, sent, served && need == Need::Write);
+        let standby = self.groups.get(&group).is_some_and(|group| group.active != Some(member));
+        if let Some(member) = self.members.get(&member).filter(|_| standby && served && need == Need::Any) {
+            let far = member.lag() >= LAG_APART.max(ended.latency / 2);
+            self.held_up[class] += LEARN * (f64::from(u8::from(far)) - self.held_up[class]);
+        }
         let (now, until) = (self.now, self.now.saturating_add(PROBE_EVERY));
         if ended.outcome == Outcome::Miss && need == Need::Write {
             self.members.entry(member).and_modify(|m| m.doubted_until = now.saturating_add(DOUBT));
@@ -580,7 +588,6 @@
             self.members.entry(member).and_modify(|member| member.missed_until = until);
         }
         let id = ended.request;
-        let served = ended.outcome == Outcome::Served;
         // Where nobody asks for them, commits are not kept: a long day has a new session a moment.
         let asked = self.settings.needs.contains(&Need::Session);
         let session = session.filter(|_| asked && served && need == Need::Write);
@@ -607,7 +614,7 @@
         let allowed = request.effect != Effect::Unsafe || request.first_may_have_run().is_none();
         let can = left && allowed && self.now < self.last_start(request);
         let quick = ended.outcome == Outcome::Error && (ended.latency as f64) < usual / 4.0;
-        let price = if quick || proves_nothing_ran(ended.outcome) { 0.0 } else { 1.0 };
+        let price = if quick || ended.outcome.proves_nothing_ran() { 0.0 } else { 1.0 };
         if ended.outcome == Outcome::Unusable {
             self.out.push(Action::Fail(id));
             return self.conclude(id);
@@ -807,7 +814,7 @@
     /// Whether a member has room for a request of this share of its limit.
     fn admits(&self, member: &Member, share: f64) -> bool {
         let warmth = member.warmth(&self.settings, self.now);
-        let limit = member.limit * share * warmth;
+        let limit = member.limit.most * share * warmth;
         f64::from(member.in_flight) < limit.max(1.0)
     }
 
@@ -862,7 +869,7 @@
         let shared = request.need == Need::Any && large;
         in_sync.retain(|m| shared || m.verified == proven);
         if request.need == Need::Any {
-            return self.gather(&in_sync);
+            return self.gather(request.class(), &in_sync);
         }
         in_sync.retain(|m| self.admits(m, 1.0));
         if in_sync.is_empty() && request.need == Need::Bounded {
@@ -898,25 +905,34 @@
         self.less_busy_of_two(&open[spare..])
     }
 
-    /// Any-reads may block applying where they run. Once they do, they gather on the standbys furthest
-    /// behind, half of them at most, so that the others stay in sync. Where answers come late more would
-    /// only time out; but only what is out there can ease the pressure, so with nothing in flight a trial
-    /// is due. Harm: a report that a quiet group could have borne comes later.
-    fn gather(&self, members: &[&Member]) -> Option<MemberId> {
+    /// Whether reads of this class may put a standby apart: long ones, until their answers show that it was
+    /// not far behind. A short one alone can't. Harm: many short ones that do hold up applying are spread.
+    fn holds_up(&self, class: usize) -> bool {
+        let long = self.paces[class].mean >= LAG_APART as f64 && self.work(class) >= LONG_WORK;
+        long && self.held_up[class] >= HELD_UP
+    }
+
+    /// Any-reads that hold up applying gather on the standbys furthest behind, half of them at most, so that
+    /// the others stay in sync; the rest spread. Where answers come late more would only time out; but only
+    /// what is out there can ease the pressure, so with nothing in flight a trial is due. Harm: a report that
+    /// a quiet group could have borne comes later.
+    fn gather(&self, class: usize, members: &[&Member]) -> Option<MemberId> {
         let mut behind = members.to_vec();
-        if self.fleet.is_large() {
+        let room = |m: &&Member| self.admits(m, 1.0);
+        let holds_up = self.holds_up(class);
+        if self.fleet.is_large() && holds_up {
             // Fronts that see little of a group can't find out where the others gather: the lot says it.
             behind.sort_by_key(|m| (self.is_cold(m), m.listed_primary, m.lot));
-            return behind.iter().find(|m| self.admits(m, 1.0)).map(|m| m.id);
+            return behind.into_iter().find(room).map(|m| m.id);
         }
         behind.sort_by_key(|m| (self.is_cold(m), Reverse(m.lag())));
-        behind.truncate((members.len() / 2).max(1));
-        if behind.first().is_some_and(|m| m.lag() <= LAG_APART || self.is_cold(m)) {
-            behind = members.iter().copied().filter(|m| self.admits(m, 1.0)).collect();
+        if !holds_up || behind.first().is_some_and(|m| m.lag() <= LAG_APART || self.is_cold(m)) {
+            behind = members.iter().copied().filter(room).collect();
             return self.less_busy_of_two(&behind);
         }
-        let eased = |m: &&&Member| m.in_flight == 0 || m.pressure <= PRESSED;
-        behind.iter().filter(eased).find(|m| self.admits(m, 1.0)).map(|m| m.id)
+        behind.truncate((members.len() / 2).max(1));
+        let eased = |m: &&Member| m.in_flight == 0 || m.limit.pressure <= PRESSED;
+        behind.into_iter().filter(eased).find(room).map(|m| m.id)
     }
 
     fn less_busy_of_two(&self, members: &[&Member]) -> Option<MemberId> {
@@ -972,11 +988,6 @@
     }
 }
 
-fn proves_nothing_ran(outcome: Outcome) -> bool {
-    use Outcome::*;
-    matches!(outcome, Full | ConnectFailed | Moot | Miss | Unusable)
-}
-
 impl Member {
     /// Drains are kept from the first word on; where only a draining entry binds, 'gone' alone does not.
     fn drain_binds(&self, settings: &Settings) -> bool {
@@ -1003,17 +1014,4 @@
     fn warmth(&self, settings: &Settings, now: Micros) -> f64 {
         fleet::warmth(settings, self.started, now)
     }
-
-    /// Learns how many attempts in flight keep latency under the wanted time.
-    fn adapt_limit(&mut self, ratio: f64, now: Micros) {
-        self.pressure += LEARN * (ratio - self.pressure);
-        let reached = f64::from(self.in_flight + 1);
-        let rested = now.saturating_sub(self.limit_moved) > PROBE_EVERY / 10;
-        if self.pressure > PRESSED && rested {
-            self.limit = (self.limit.min(reached) * 0.9).max(LIMIT_LEAST);
-            self.limit_moved = now;
-        } else if self.pressure < PRESSED * 0.75 && reached >= self.limit * 0.5 {
-            self.limit += 1.0 / self.limit.max(1.0);
-        }
-    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a router keeps in mind, without any decision: records, a running mean, an agenda, session commits.
 
-use crate::fleet::{Carried, Credit, Flow};
+use crate::fleet::{Carried, Credit, Flow, Limit};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -70,11 +70,8 @@
     /// It let a request time out here.
     pub shunned_until: Micros,
     pub pace: Pace,
-    /// Running mean of latency over wanted time.
-    pub pressure: f64,
-    /// Most own attempts in flight.
-    pub limit: f64,
-    pub limit_moved: Micros,
+    /// Own attempts in flight.
+    pub limit: Limit,
     /// Sends saved up while cold.
     pub cold: Credit,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -73,6 +73,15 @@
     }
 }
 
+/// The same, where any-reads are long beside the rest.
+pub fn reports() -> Settings {
+    let mut settings = settings();
+    for (number, class) in settings.classes.iter_mut().enumerate().filter(|(number, _)| *number != ANY) {
+        class.aim = if number == BOUNDED { 40 * MS } else { 100 * MS };
+    }
+    settings
+}
+
 pub struct Front {
     pub router: Router,
     pub now: Micros,
