Let reports of the fleet test be long and hold up applying, as they do

Cause: the fleet test's any-reads took as long as all others, so the new distinction spread them. Change: they work 300 ms and leave their standby so far behind.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -10,6 +10,8 @@
 /// What a member works on a request, and how long a probe takes there and back.
 const WORK: Micros = 30 * MS;
 const TRIP: Micros = 2 * MS;
+/// What a member works on a read that stops its log.
+const REPORT: Micros = 300 * MS;
 /// How old a load report is.
 const REPORT_AGE: Micros = 150 * MS;
 const MEMBERS: u32 = 5;
@@ -51,7 +53,7 @@
         let list: std::sync::Arc<[Entry]> =
             (0..groups * MEMBERS).map(|m| Entry { role: role(m), ..listed(m, EntryState::On, 0) }).collect();
         let settings =
-            Settings { fleet: fronts, checks: Checks::None, discovery: Discovery::Ask, ..settings() };
+            Settings { fleet: fronts, checks: Checks::None, discovery: Discovery::Ask, ..reports() };
         let router = |n| Router::new(settings.clone(), seed * 1_000 + n, START).expect("good settings");
         let mut world = World {
             now: START,
@@ -92,7 +94,7 @@
                     *self.sends.entry((class, member.0)).or_default() += 1;
                     self.times.entry(member.0).or_default().push(self.now);
                     *self.attempts.entry((front, request.0)).or_default() += 1;
-                    self.later(WORK, Next::Answer(front, request.0, member.0));
+                    self.later(work(class), Next::Answer(front, request.0, member.0));
                 }
                 Action::Probe(member) => {
                     *self.probes.entry(member.0).or_default() += 1;
@@ -133,8 +135,11 @@
                 Next::CallFailed(front) => self.feed(front, Event::ListLost(Loss::Refused)),
                 Next::Answer(front, request, member) => {
                     let attempt = self.attempts[&(front, request)] - 1;
-                    let (outcome, note) = self.reply(member, 5 * MS);
-                    let ended = ended(RequestId(request), attempt, outcome, WORK, note);
+                    let class = self.classes[&request];
+                    // Nothing is applied while a report is worked on.
+                    let behind = if class == ANY { REPORT } else { 5 * MS };
+                    let (outcome, note) = self.reply(member, behind);
+                    let ended = ended(RequestId(request), attempt, outcome, work(class), note);
                     self.feed(front, Event::Ended(ended));
                 }
                 Next::Report(front, member) => {
@@ -190,6 +195,14 @@
     }
 }
 
+fn work(class: usize) -> Micros {
+    if class == ANY {
+        REPORT
+    } else {
+        WORK
+    }
+}
+
 /// A line of the list.
 fn listed(member: u32, state: EntryState, started: Micros) -> Entry {
     let group = GroupId(u64::from(member / MEMBERS));
