--- /dev/null
+++ b/rig/src/cluster/history.rs
@@ -0,0 +1,202 @@
+//! What gateways said that they did, and what of it must never be: read from their JSON log lines.
+
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the rig adds to a gateway's lines once its process has been killed.
+pub const KILLED: &str = "killed";
+
+/// A line of one gateway's log.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Which gateway.
+    pub gateway: u64,
+    /// Its fields.
+    pub fields: Value,
+}
+
+/// A span of time in which a gateway may act, microseconds on the machine's clock; `until` is not part of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Span {
+    gateway: u64,
+    token: u64,
+    from: u64,
+    until: u64,
+}
+
+fn number(line: &Line, key: &str) -> u64 {
+    line.fields[key].as_u64().unwrap_or(0)
+}
+
+fn message(line: &Line) -> &str {
+    line.fields["message"].as_str().unwrap_or("")
+}
+
+/// Spans from lines that say until when a gateway may act, and lines that say that it stopped earlier.
+fn spans<'a>(
+    lines: impl Iterator<Item = &'a Line>,
+    acting: &str,
+    stopped: &str,
+    same: impl Fn(&Line) -> bool,
+) -> Vec<Span> {
+    let mut all: Vec<Span> = Vec::new();
+    for line in lines.filter(|line| same(line) || message(line) == KILLED) {
+        let (gateway, at) = (line.gateway, number(line, "at"));
+        // A process that is gone does nothing more, and the next one's log begins with what it learns anew.
+        if message(line) == KILLED {
+            let own = all.iter_mut().filter(|span| span.gateway == gateway);
+            own.for_each(|span| span.until = span.until.min(at));
+        } else if message(line) == acting {
+            let (token, until) = (number(line, "token"), number(line, "until"));
+            let open = all.iter_mut().rev().find(|span| span.gateway == gateway);
+            match open.filter(|span| span.token == token && span.until >= at) {
+                Some(span) => span.until = span.until.max(until),
+                None => all.push(Span { gateway, token, from: at, until }),
+            }
+        } else if message(line).starts_with(stopped) {
+            if let Some(span) = all.iter_mut().rev().find(|span| span.gateway == gateway) {
+                span.until = span.until.min(at);
+            }
+        }
+    }
+    all.retain(|span| span.from < span.until);
+    all
+}
+
+/// All that must never be and was, in words; empty where nothing was.
+pub fn violations(lines: &[Line]) -> Vec<String> {
+    let mut found = Vec::new();
+    let duties: BTreeSet<&str> = lines.iter().filter_map(|line| line.fields["duty"].as_str()).collect();
+    for duty in duties {
+        let own = |line: &Line| line.fields["duty"].as_str() == Some(duty);
+        let mut held = spans(lines.iter(), "duty: acting", "duty: stopped", own);
+        held.sort_by_key(|span| span.from);
+        for (one, other) in
+            held.iter().enumerate().flat_map(|(n, one)| held[n + 1..].iter().map(move |o| (one, o)))
+        {
+            if other.from < one.until && one.gateway != other.gateway {
+                found.push(format!("{duty}: {one:?} and {other:?} act at once"));
+            }
+            if other.gateway != one.gateway && other.token <= one.token {
+                found.push(format!("{duty}: {other:?} came after {one:?} with a token that is not newer"));
+            }
+        }
+    }
+    found.extend(versions(lines));
+    found
+}
+
+/// Never a third version, and everywhere the same order of them.
+fn versions(lines: &[Line]) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut before: BTreeMap<(String, u64), u64> = BTreeMap::new();
+    // By topic and gateway, from when it acted on which version.
+    let mut steps: BTreeMap<String, BTreeMap<u64, Vec<(u64, u64)>>> = BTreeMap::new();
+    for line in lines.iter().filter(|line| message(line) == "version: in force") {
+        let topic = line.fields["topic"].as_str().unwrap_or("").to_owned();
+        let (version, former) = (number(line, "number"), number(line, "before"));
+        if *before.entry((topic.clone(), version)).or_insert(former) != former {
+            found.push(format!(
+                "{topic}: {version} follows {former} at {} and another elsewhere",
+                line.gateway
+            ));
+        }
+        let of = steps.entry(topic).or_default().entry(line.gateway).or_default();
+        of.push((number(line, "at"), version));
+    }
+    let seats = spans(lines.iter(), "seat: acting", "seat: stopped", |_| true);
+    for (topic, gateways) in &steps {
+        let moments = gateways.values().flatten().map(|(at, _)| *at);
+        for at in moments.chain(seats.iter().map(|seat| seat.from)) {
+            let acted =
+                seats.iter().filter(|seat| (seat.from..seat.until).contains(&at)).filter_map(|seat| {
+                    let steps = gateways.get(&seat.gateway)?;
+                    steps.iter().rev().find(|(from, _)| *from <= at).map(|(_, version)| *version)
+                });
+            let acted: BTreeSet<u64> = acted.collect();
+            let Some(&newest) = acted.last() else { continue };
+            let former = before.get(&(topic.clone(), newest)).copied().unwrap_or(0);
+            if acted.iter().any(|version| *version != newest && *version != former) {
+                found.push(format!(
+                    "{topic}: at {at} versions {acted:?} are acted on, and {former} was before {newest}"
+                ));
+            }
+        }
+    }
+    found
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn line(gateway: u64, fields: Value) -> Line {
+        Line { gateway, fields }
+    }
+
+    fn duty(gateway: u64, at: u64, token: u64, until: u64) -> Line {
+        let fields =
+            json!({"message": "duty: acting", "duty": "probes", "at": at, "token": token, "until": until});
+        line(gateway, fields)
+    }
+
+    fn seat(gateway: u64, at: u64, until: u64) -> Line {
+        line(gateway, json!({"message": "seat: acting", "at": at, "token": 1, "until": until}))
+    }
+
+    fn force(gateway: u64, at: u64, number: u64, before: u64) -> Line {
+        let fields = json!({"message": "version: in force", "topic": "Operator", "at": at, "number": number, "before": before});
+        line(gateway, fields)
+    }
+
+    #[test]
+    fn two_holders_at_once_or_a_token_that_does_not_grow_is_found() {
+        let good = [duty(1, 10, 1, 40), duty(1, 30, 1, 60), duty(2, 60, 5, 90)];
+        assert_eq!(violations(&good), Vec::<String>::new());
+        assert!(violations(&[duty(1, 10, 1, 40), duty(2, 39, 5, 90)])[0].contains("at once"));
+        assert!(violations(&[duty(1, 10, 5, 40), duty(2, 41, 5, 90)])[0].contains("not newer"));
+        // It stopped earlier than it had to.
+        let stopped = line(1, json!({"message": "duty: stopped", "duty": "probes", "at": 30}));
+        assert_eq!(violations(&[duty(1, 10, 1, 60), stopped, duty(2, 31, 5, 90)]), Vec::<String>::new());
+    }
+
+    #[test]
+    fn a_third_version_or_another_order_is_found() {
+        let good = [
+            seat(1, 0, 100),
+            seat(2, 0, 100),
+            force(1, 10, 3, 0),
+            force(2, 20, 3, 0),
+            force(1, 30, 7, 3),
+        ];
+        assert_eq!(violations(&good), Vec::<String>::new());
+        let third = [&good[..], &[force(1, 40, 9, 7)]].concat();
+        assert!(
+            violations(&third)[0].contains("[3, 9]") || violations(&third)[0].contains("{3, 9}"),
+            "{:?}",
+            violations(&third)
+        );
+        // One that was killed starts again and learns the versions anew, while its former life's right would still run.
+        let killed = line(2, json!({"message": KILLED, "at": 25}));
+        let reborn = [
+            seat(1, 0, 100),
+            seat(2, 0, 100),
+            force(2, 5, 3, 0),
+            killed,
+            force(2, 30, 3, 0),
+        ];
+        let rest = [force(1, 10, 3, 0), force(1, 20, 7, 3), force(1, 26, 9, 7)];
+        assert_eq!(violations(&[&reborn[..], &rest[..]].concat()), Vec::<String>::new());
+        // One whose right has run out acts on nothing.
+        let lapsed = [
+            seat(1, 0, 100),
+            seat(2, 0, 35),
+            force(2, 20, 3, 0),
+            force(1, 30, 7, 3),
+            force(1, 40, 9, 7),
+        ];
+        assert_eq!(violations(&lapsed), Vec::<String>::new());
+        assert!(violations(&[force(1, 10, 3, 0), force(2, 10, 3, 1)])[0].contains("elsewhere"));
+    }
+}
--- /dev/null
+++ b/rig/src/cluster/mod.rs
@@ -0,0 +1,365 @@
+//! A fleet of real gateway processes that share a log, with every link between them through a fault proxy.
+//!
+//! One seed draws all faults and their times: cuts in one direction and both, partitions, slow links, doubled and swapped
+//! frames, processes that stand still, die, come back, or lose their disk; and the versions that are offered meanwhile.
+//! How the processes themselves are scheduled is the machine's, so a run with the same seed meets the same faults, not
+//! the same instants. A run ends with all faults over, and checks what must never have been and what must be by then.
+
+pub mod history;
+mod proxy;
+
+use crate::fleet::{Fleet, Shape};
+use crate::gateway::{free, Gateway, Plan};
+use history::Line;
+use nix::sys::signal::Signal;
+use proxy::Way;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// How long rights last in these fleets, milliseconds: short, so that a run sees many.
+const LEASE_MS: u64 = 1_200;
+const RENEW_MS: u64 = 200;
+const MARGIN_MS: u64 = 50;
+/// Within what time after the last fault all must be well: a lease and its wait, two elections, a rejoin that is damped,
+/// and the verdicts on a version.
+const WELL: Duration = Duration::from_millis(20_000);
+
+/// What a run found.
+#[derive(Debug, Default)]
+pub struct Found {
+    /// What must never have been.
+    pub violations: Vec<String>,
+    /// Versions that came in force.
+    pub versions: usize,
+    /// Faults that were made.
+    pub faults: usize,
+    /// How long after the last fault a version that was offered then was in force at all gateways.
+    pub well_after: Duration,
+    /// The log lines that the fleet wrote.
+    pub lines: usize,
+}
+
+/// A fleet of gateways.
+pub struct Cluster {
+    gateways: Vec<Option<Gateway>>,
+    plans: Vec<Plan>,
+    places: Vec<SocketAddr>,
+    ways: Vec<Vec<Arc<Way>>>,
+    /// The addresses at which gateway `i` reaches gateway `j`.
+    seen: Vec<Vec<SocketAddr>>,
+    voters: usize,
+    edition: u64,
+    folder: tempfile::TempDir,
+    past: Vec<Line>,
+    _databases: Arc<Fleet>,
+}
+
+impl Cluster {
+    /// Starts so many gateways, the first `voters` of which vote.
+    pub fn start(program: PathBuf, gateways: usize, voters: usize) -> io::Result<Cluster> {
+        let shape = Shape { groups: 1, members: 2, gateways, ..Shape::default() };
+        let databases = Fleet::start(shape)?;
+        let places = free(gateways)?;
+        let ways: Vec<Vec<Arc<Way>>> =
+            (0..gateways).map(|_| (0..gateways).map(|_| Arc::default()).collect()).collect();
+        let link = |from: usize, to: usize| match from == to {
+            true => Ok(places[to]),
+            false => proxy::link(places[to], ways[from][to].clone(), ways[to][from].clone()),
+        };
+        let seen = (0..gateways).map(|from| (0..gateways).map(|to| link(from, to)).collect());
+        let seen = seen.collect::<io::Result<Vec<Vec<SocketAddr>>>>()?;
+        let plans = (0..gateways).map(|gateway| {
+            let plan = Plan::beside(&databases, gateway, program.clone())?;
+            Ok(Plan { health: false, ..plan })
+        });
+        let plans = plans.collect::<io::Result<Vec<Plan>>>()?;
+        let mut cluster = Cluster {
+            gateways: (0..gateways).map(|_| None).collect(),
+            plans,
+            places,
+            ways,
+            seen,
+            voters,
+            edition: 0,
+            folder: tempfile::tempdir()?,
+            past: Vec::new(),
+            _databases: databases,
+        };
+        (0..gateways).try_for_each(|gateway| cluster.revive(gateway))?;
+        Ok(cluster)
+    }
+
+    fn store(&self, gateway: usize) -> PathBuf {
+        self.folder.path().join(format!("store-{gateway}"))
+    }
+
+    /// The operator's file of a gateway; editions differ in a network that may connect.
+    fn file(&self, gateway: usize, edition: u64) -> String {
+        let peers: Vec<String> = (0..self.seen.len())
+            .map(|to| {
+                let (id, address, voter) = (to + 1, self.seen[gateway][to], to < self.voters);
+                format!(
+                    "peer(id = {id}, address = '{address}', voter = {})",
+                    if voter { "True" } else { "False" }
+                )
+            })
+            .collect();
+        format!(
+            "lease(me = {}, peers = [{}], listen = '{}', store = '{}', duties = ['discovery', 'probes'],\n  \
+             lease_ms = {LEASE_MS}, renew_ms = {RENEW_MS}, margin_ms = {MARGIN_MS},\n  \
+             allow = ['127.0.0.0/8', '10.{}.{}.0/24'])\n",
+            gateway + 1,
+            peers.join(", "),
+            self.places[gateway],
+            self.store(gateway).display(),
+            edition / 256,
+            edition % 256,
+        )
+    }
+
+    /// Starts a gateway that does not run, on the store that it has.
+    pub fn revive(&mut self, gateway: usize) -> io::Result<()> {
+        if self.gateways[gateway].is_none() {
+            let operator = self.file(gateway, self.edition);
+            let plan = Plan { operator, ..self.plans[gateway].clone() };
+            let started = Gateway::start(&plan)?;
+            // Before that a signal would end it, as it would any program.
+            let up = started.logged(0, WELL, |line| line["message"] == "log: started");
+            self.gateways[gateway] = Some(started);
+            up.ok_or(io::ErrorKind::TimedOut)?;
+        }
+        Ok(())
+    }
+
+    /// Gateways that ended by themselves, and how.
+    pub fn ended(&mut self) -> Vec<String> {
+        let running =
+            self.gateways.iter_mut().enumerate().filter_map(|(n, gateway)| Some((n, gateway.as_mut()?)));
+        let ended =
+            running.filter_map(|(n, gateway)| Some(format!("gateway {} ended: {}", n + 1, gateway.ended()?)));
+        ended.collect()
+    }
+
+    /// Kills a gateway outright; its store stays.
+    pub fn kill(&mut self, gateway: usize) {
+        if let Some(dead) = self.gateways[gateway].take() {
+            let _ = dead.signal(Signal::SIGCONT);
+            let _ = dead.signal(Signal::SIGKILL);
+            // What it wrote last is still on its way.
+            sleep(Duration::from_millis(20));
+            self.past.extend(lines(gateway, &dead));
+            let fields = serde_json::json!({"message": history::KILLED, "at": crate::now()});
+            self.past.push(Line { gateway: gateway as u64 + 1, fields });
+        }
+    }
+
+    /// Takes a dead gateway's disk away.
+    pub fn wipe(&mut self, gateway: usize) -> io::Result<()> {
+        self.kill(gateway);
+        std::fs::remove_dir_all(self.store(gateway))
+    }
+
+    /// Sends a running gateway a signal.
+    pub fn signal(&self, gateway: usize, signal: Signal) {
+        if let Some(running) = &self.gateways[gateway] {
+            let _ = running.signal(signal);
+        }
+    }
+
+    /// What one direction between two gateways does.
+    pub fn way(&self, from: usize, to: usize) -> &Way {
+        &self.ways[from][to]
+    }
+
+    /// Cuts or heals both directions between those of one side and the rest.
+    pub fn part(&self, side: &[usize], cut: bool) {
+        for one in side {
+            for other in (0..self.places.len()).filter(|other| !side.contains(other)) {
+                self.way(*one, other).cut(cut);
+                self.way(other, *one).cut(cut);
+            }
+        }
+    }
+
+    /// Heals all links.
+    pub fn heal(&self) {
+        for way in self.ways.iter().flatten() {
+            way.cut(false);
+            way.delay(0);
+            way.mangle(0);
+        }
+    }
+
+    /// Puts a new edition of the operator's file on all gateways but `except`, and has one of them offer it.
+    pub fn offer(&mut self, by: usize, except: Option<usize>) -> io::Result<()> {
+        self.edition += 1;
+        for gateway in (0..self.places.len()).filter(|gateway| Some(*gateway) != except) {
+            if let Some(running) = &self.gateways[gateway] {
+                running.rewrite(&self.file(gateway, self.edition))?;
+            }
+        }
+        self.signal(by, Signal::SIGHUP);
+        Ok(())
+    }
+
+    /// Spoils one gateway's operator's file.
+    pub fn spoil(&self, gateway: usize) -> io::Result<()> {
+        let bad = "lease(me = 'none')\n";
+        self.gateways[gateway].as_ref().map_or(Ok(()), |running| running.rewrite(bad))
+    }
+
+    /// What a running gateway logged last.
+    fn last_words(&self, gateway: usize) -> String {
+        let log = self.gateways[gateway].as_ref().map(Gateway::log).unwrap_or_default();
+        let last = log.iter().rev().take(12).rev().map(|line| format!("{} {}", gateway + 1, line.fields));
+        last.collect::<Vec<String>>().join("\n")
+    }
+
+    /// All lines so far.
+    pub fn history(&self) -> Vec<Line> {
+        let running =
+            self.gateways.iter().enumerate().filter_map(|(n, gateway)| Some((n, gateway.as_ref()?)));
+        let mut all = self.past.clone();
+        all.extend(running.flat_map(|(n, gateway)| lines(n, gateway)));
+        all.sort_by_key(|line| line.fields["at"].as_u64().unwrap_or(0));
+        all
+    }
+
+    /// The newest version of the operator's file in force at each gateway, in its present life; 0 where there is none.
+    pub fn in_force(&self) -> Vec<u64> {
+        let newest = |gateway: &Option<Gateway>| {
+            let log = gateway.as_ref().map(|gateway| gateway.log()).unwrap_or_default();
+            let in_force = log.iter().filter(|line| line.fields["message"] == "version: in force");
+            in_force.filter_map(|line| line.fields["number"].as_u64()).max().unwrap_or(0)
+        };
+        self.gateways.iter().map(newest).collect()
+    }
+
+    /// Waits until this holds; how long it took, or nothing.
+    pub fn wait(&self, within: Duration, holds: impl Fn(&Cluster) -> bool) -> Option<Duration> {
+        let began = Instant::now();
+        while began.elapsed() < within {
+            if holds(self) {
+                return Some(began.elapsed());
+            }
+            sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// Offers editions until one is in force everywhere, and says how long that took.
+    pub fn agree(&mut self, within: Duration) -> io::Result<Option<Duration>> {
+        let began = Instant::now();
+        let all = self.places.len();
+        let newest = self.in_force().into_iter().max().unwrap_or(0);
+        for round in 0.. {
+            if began.elapsed() >= within {
+                return Ok(None);
+            }
+            // Who offers may have no seat yet: each in turn.
+            self.offer(round % all, None)?;
+            let everywhere = |cluster: &Cluster| {
+                let numbers = cluster.in_force();
+                numbers[0] > newest && numbers.iter().all(|number| *number == numbers[0])
+            };
+            if self.wait(Duration::from_millis(1_500), everywhere).is_some() {
+                return Ok(Some(began.elapsed()));
+            }
+        }
+        Ok(None)
+    }
+}
+
+fn lines(gateway: usize, running: &Gateway) -> Vec<Line> {
+    let log = running.log().into_iter();
+    log.map(|line| Line { gateway: gateway as u64 + 1, fields: line.fields }).collect()
+}
+
+/// Plays a run of so long from a seed.
+pub fn play(program: PathBuf, seed: u64, gateways: usize, span: Duration) -> io::Result<Found> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let voters = if gateways >= 5 { 5 } else { 3 };
+    let mut cluster = Cluster::start(program, gateways, voters)?;
+    let mut found = Found::default();
+    if cluster.agree(WELL)?.is_none() {
+        found.violations.push("no version came in force without any fault".into());
+        return Ok(found);
+    }
+    let until = Instant::now() + span;
+    // At most one voter is without its disk at a time: two at once would be a majority that remembers nothing.
+    let mut wiped_at: Option<Instant> = None;
+    while Instant::now() < until {
+        sleep(Duration::from_millis(rng.u64(100..700)));
+        let (one, other) = (rng.usize(0..gateways), rng.usize(0..gateways));
+        found.faults += 1;
+        match rng.u8(0..12) {
+            0 => cluster.way(one, other).cut(true),
+            1 => {
+                let side: Vec<usize> = (0..gateways).filter(|_| rng.bool()).collect();
+                cluster.part(&side, true);
+            }
+            2 => cluster.way(one, other).delay(rng.u64(1..500)),
+            3 => cluster.way(one, other).mangle(rng.u64(2..9)),
+            4 => cluster.signal(one, Signal::SIGSTOP),
+            5 => cluster.kill(one),
+            6 if wiped_at.is_none_or(|at| at.elapsed() > Duration::from_secs(8)) => {
+                cluster.heal();
+                cluster.wipe(one)?;
+                wiped_at = Some(Instant::now());
+                cluster.revive(one)?;
+            }
+            7 | 8 => cluster.offer(one, rng.bool().then_some(other))?,
+            9 => cluster.spoil(one)?,
+            _ => {
+                cluster.heal();
+                for gateway in 0..gateways {
+                    cluster.signal(gateway, Signal::SIGCONT);
+                    cluster.revive(gateway)?;
+                }
+            }
+        }
+    }
+    cluster.heal();
+    for gateway in 0..gateways {
+        cluster.signal(gateway, Signal::SIGCONT);
+        cluster.revive(gateway)?;
+    }
+    match cluster.agree(WELL)? {
+        Some(after) => found.well_after = after,
+        None => {
+            let numbers = cluster.in_force();
+            let newest = numbers.iter().max().copied().unwrap_or(0);
+            let behind = (0..gateways).filter(|gateway| numbers[*gateway] < newest);
+            let said = behind.map(|gateway| cluster.last_words(gateway)).collect::<Vec<String>>().join("\n");
+            found.violations.push(format!(
+                "{WELL:?} after the last fault no new version is in force everywhere: {numbers:?}\n{said}"
+            ));
+        }
+    }
+    found.violations.extend(cluster.ended());
+    let history = cluster.history();
+    let panics = history
+        .iter()
+        .enumerate()
+        .filter(|(_, line)| line.fields.as_str().is_some_and(|l| l.contains("panicked")));
+    for (n, line) in panics {
+        let next = history[n + 1..].iter().find(|next| next.gateway == line.gateway);
+        found.violations.push(format!(
+            "gateway {}: {} {:?}",
+            line.gateway,
+            line.fields,
+            next.map(|l| &l.fields)
+        ));
+    }
+    let in_force = history.iter().filter(|line| line.fields["message"] == "version: in force");
+    let numbers: std::collections::BTreeSet<u64> =
+        in_force.filter_map(|l| l.fields["number"].as_u64()).collect();
+    found.versions = numbers.len();
+    found.lines = history.len();
+    found.violations.extend(history::violations(&history));
+    Ok(found)
+}
--- a/rig/src/gateway.rs
+++ b/rig/src/gateway.rs
@@ -39,6 +39,8 @@
     pub known: Value,
     /// Descriptors allowed.
     pub sockets: usize,
+    /// What else the operator's file says.
+    pub operator: String,
 }
 
 impl Plan {
@@ -57,6 +59,7 @@
             discovery: fleet.discovery(gateway),
             known: fleet.list(gateway),
             sockets: 1024,
+            operator: String::new(),
         })
     }
 }
@@ -77,11 +80,14 @@
     pub fields: Value,
 }
 
+/// The operator's file within a gateway's folder.
+const OPERATOR: &str = "operator.star";
+
 /// A running gateway.
 pub struct Gateway {
     child: Child,
     log: Arc<Mutex<Vec<Line>>>,
-    _files: tempfile::TempDir,
+    files: tempfile::TempDir,
 }
 
 /// The settings of the rig's databases, in the platform's words.
@@ -124,13 +130,16 @@
         };
         command.env("RELAY_CONFIG", &path).env_remove("RELAY_LISTEN").env_remove("RELAY_DISCOVERY");
         command.env("RELAY_LOG", "info").args(["run", "--log-format", "json"]);
+        let mut text = plan.operator.clone();
         if plan.health {
-            let operator = files.path().join("operator.star");
-            let text = format!(
+            text += &format!(
                 "health(\n  agent = agent(listen = '{}', wait_ms = 5),\n  http = listener(listen = '{}'),\n  \
                  balancer = balancer(interval_ms = {}, fall = 2, timeout_ms = 200),\n  {}\n)\n",
                 plan.agent, plan.http, plan.interval_ms, plan.extra
             );
+        }
+        if !text.is_empty() {
+            let operator = files.path().join(OPERATOR);
             std::fs::write(&operator, text)?;
             command.arg("--operator").arg(&operator);
         }
@@ -146,7 +155,12 @@
                 }
             });
         }
-        Ok(Gateway { child, log, _files: files })
+        Ok(Gateway { child, log, files })
+    }
+
+    /// Puts another operator's file in place of what it was started with; it reads it on SIGHUP, or when asked.
+    pub fn rewrite(&self, text: &str) -> io::Result<()> {
+        std::fs::write(self.files.path().join(OPERATOR), text)
     }
 
     /// Its process.
@@ -177,6 +191,11 @@
         Ok(kill(Pid::from_raw(self.child.id() as i32), signal)?)
     }
 
+    /// How it ended, where it did.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Waits for its end; false when it ended badly.
     pub fn wait(&mut self, within: Duration) -> io::Result<bool> {
         let until = Instant::now() + within;
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod balancer;
 pub mod chart;
+pub mod cluster;
 pub mod database;
 pub mod fleet;
 pub mod gateway;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -4,6 +4,7 @@
 mod cells;
 mod health;
 
+use asterreel_rig::{chart, cluster};
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 
@@ -21,6 +22,8 @@
     Health(Health),
     /// How far a poisoned tenant reaches, with cells and without
     Cells(Common),
+    /// Fleets that share a log, under faults drawn from seeds; fails if anything happened that never must
+    Cluster(Cluster),
 }
 
 #[derive(clap::Args)]
@@ -35,6 +38,75 @@
     rounds: u32,
 }
 
+#[derive(clap::Args)]
+struct Cluster {
+    /// The first run's seed; the others' follow
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many runs
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    runs: u64,
+    /// How many runs at a time
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=8))]
+    beside: u64,
+    /// Gateways of each fleet; 3 of them vote, or 5 where there are so many
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(3..=9))]
+    gateways: u64,
+    /// How long faults go on in each run, seconds
+    #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u64).range(1..=600))]
+    seconds: u64,
+    /// The gateway's program
+    #[arg(long, default_value = "target/release/asterreel")]
+    program: PathBuf,
+}
+
+impl Cluster {
+    /// Plays the runs; a line each, and the sum.
+    fn play(&self) -> anyhow::Result<()> {
+        let (mut bad, mut faults, mut versions, mut took) = (Vec::new(), 0, 0, Vec::new());
+        let seeds: Vec<u64> = (self.seed..self.seed + self.runs).collect();
+        for some in seeds.chunks(self.beside as usize) {
+            let run = |seed: u64| {
+                let (program, gateways) = (self.program.clone(), self.gateways as usize);
+                let span = std::time::Duration::from_secs(self.seconds);
+                std::thread::spawn(move || cluster::play(program, seed, gateways, span))
+            };
+            let runs: Vec<_> = some.iter().map(|seed| (*seed, run(*seed))).collect();
+            for (seed, run) in runs {
+                let found =
+                    run.join().map_err(|_| anyhow::anyhow!("seed {seed}: the run itself failed"))??;
+                println!(
+                    "seed {seed}: {} faults, {} versions, {} lines, well after {} ms, {} violations",
+                    found.faults,
+                    found.versions,
+                    found.lines,
+                    found.well_after.as_millis(),
+                    found.violations.len()
+                );
+                found.violations.iter().for_each(|violation| println!("  {violation}"));
+                (faults, versions) = (faults + found.faults, versions + found.versions);
+                took.push(found.well_after.as_millis() as u64);
+                if !found.violations.is_empty() {
+                    bad.push(seed);
+                }
+            }
+        }
+        took.sort_unstable();
+        let (median, worst) = (chart::quantile(&took, 0.5), took.last().copied().unwrap_or(0));
+        println!(
+            "{} runs: {faults} faults, {versions} versions; well after {median} ms, worst {worst} ms",
+            took.len()
+        );
+        let again = |seed: &u64| {
+            let (gateways, seconds) = (self.gateways, self.seconds);
+            format!("asterreel-rig cluster --seed {seed} --gateways {gateways} --seconds {seconds}")
+        };
+        let again: Vec<String> = bad.iter().map(again).collect();
+        anyhow::ensure!(bad.is_empty(), "violations; to play them again:\n{}", again.join("\n"));
+        Ok(())
+    }
+}
+
 #[derive(clap::Args)]
 struct Common {
     /// Of the load's schedule
@@ -52,6 +124,7 @@
     let (common, health) = match Cli::parse().command {
         Command::Health(Health { experiment, common, rounds }) => (common, Some((experiment, rounds))),
         Command::Cells(common) => (common, None),
+        Command::Cluster(cluster) => return cluster.play(),
     };
     std::fs::create_dir_all(&common.out)?;
     let setting = health::Setting { seed: common.seed, program: common.program, out: common.out };
--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// How many requests were taken since the start.
+    pub fn requests(&self) -> u64 {
+        self.core.requests()
+    }
+
     fn sessions<T>(&self, work: impl FnOnce(&mut BTreeMap<u64, Arc<Mailbox>>) -> T) -> T {
         work(&mut self.sessions.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -141,6 +141,11 @@
         self.with(|state| state.feed(self, event));
     }
 
+    /// How many requests came in since the start.
+    pub fn requests(&self) -> u64 {
+        self.with(|state| state.requests)
+    }
+
     /// A request came in; its orders go to the inbox until [`Core::forget`].
     pub fn arrive(&self, mut arrival: Arrival, inbox: Arc<dyn Inbox>) -> RequestId {
         self.with(|state| {
--- /dev/null
+++ b/src/bin/asterreel/fleetwide.rs
@@ -0,0 +1,87 @@
+//! What this gateway does with what its fleet agrees on: judges versions, puts them in force, says what it did under them.
+
+use crate::client::Gateway;
+use crate::peer::{Ask, Handle, Notice};
+use asterreel::operator::{Evaluated, Operator};
+use asterreel::versions::{Content, Topic};
+use std::sync::mpsc::Receiver;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The format of what is offered of the operator's file: a digest of what it sets.
+const FORMAT: u32 = 1;
+
+pub struct Fleetwide {
+    pub peers: Handle,
+    pub notices: Receiver<Notice>,
+    /// Judged good, to be put in force when the fleet agrees.
+    candidate: Option<(u64, Evaluated)>,
+    /// Requests that were counted already.
+    counted: u64,
+}
+
+/// What files of a fleet have in common: all but what names this gateway, where it listens and keeps its log.
+fn digest(operator: &Operator) -> Content {
+    let mut shared = operator.clone();
+    if let Some(lease) = &mut shared.lease {
+        lease.me = 0;
+        lease.listen = ([0, 0, 0, 0], 0).into();
+        lease.store.clear();
+        // Each gateway may reach the others at addresses of its own.
+        lease.peers.iter_mut().for_each(|peer| peer.address = lease.listen);
+    }
+    if let Some(health) = &mut shared.health {
+        health.agent = None;
+        (health.http, health.postgres, health.grpc) = (None, None, None);
+    }
+    let text = serde_json::to_vec(&shared).unwrap_or_default();
+    Content { format: FORMAT, bytes: xxh3_64(&text).to_le_bytes().to_vec() }
+}
+
+impl Fleetwide {
+    pub fn new(peers: Handle, notices: Receiver<Notice>) -> Fleetwide {
+        Fleetwide { peers, notices, candidate: None, counted: 0 }
+    }
+
+    /// Offers the operator's file as it is here.
+    pub fn offer(&self, operator: &Operator) {
+        self.peers.ask(Ask::Offer(Topic::Operator, digest(operator)));
+    }
+
+    /// Whether this gateway could act on a version. `evaluated` reads the operator's file as it is here.
+    pub fn judge(
+        &mut self,
+        topic: Topic,
+        number: u64,
+        content: &Content,
+        evaluated: impl FnOnce() -> Result<Evaluated, String>,
+    ) -> Result<(), String> {
+        if topic != Topic::Operator {
+            return Err(format!("this build puts no version of {topic:?} in force"));
+        }
+        let evaluated = evaluated()?;
+        if digest(&evaluated.operator) != *content {
+            let file = &evaluated.file;
+            return Err(format!(
+                "{file} sets something else here; copy the same file to all gateways, then SIGHUP one"
+            ));
+        }
+        self.candidate = Some((number, evaluated));
+        Ok(())
+    }
+
+    /// The file that was judged good as this version.
+    pub fn take(&mut self, topic: Topic, number: u64) -> Option<Evaluated> {
+        let judged = |candidate: &mut (u64, Evaluated)| topic == Topic::Operator && candidate.0 == number;
+        self.candidate.take_if(judged).map(|(_, evaluated)| evaluated)
+    }
+
+    /// Tells the fleet how many requests were taken under the operator's file in force.
+    pub fn count(&mut self, gateway: &Gateway) {
+        let taken = gateway.requests();
+        let count = taken - std::mem::replace(&mut self.counted, taken);
+        let acting = self.peers.view().acting(Topic::Operator, gateway.core.clock.now());
+        if let Some((number, _)) = acting.filter(|_| count > 0) {
+            self.peers.ask(Ask::Acted(Topic::Operator, number, count));
+        }
+    }
+}
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -9,10 +9,12 @@
 mod clock;
 mod core;
 mod discovery;
+mod fleetwide;
 #[cfg(test)]
 mod fuzz;
 mod health;
 mod net;
+mod peer;
 mod pg;
 mod pool;
 mod probe;
@@ -24,11 +26,14 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::discovery::Source;
+use crate::fleetwide::Fleetwide;
+use crate::peer::{Ask, Notice};
 use crate::pool::Pool;
 use crate::timer::Timer;
 use asterreel::config::Config;
 use asterreel::health::drain::{Timetable, LAST_ANSWERS};
 use asterreel::interface::{Discovery, ListKind};
+use asterreel::operator::Evaluated;
 use clap::Parser;
 use may::net::TcpListener;
 use may::sync::mpsc;
@@ -77,12 +82,6 @@
     let config = Config::from_env()?;
     let evaluated = files.evaluate(cli::EVALUATION)?;
     let table = evaluated.beside(&config)?;
-    if evaluated.operator.lease.is_some() {
-        // The decisions and the settings are there, the log among gateways that would carry them is not.
-        return Err(
-            "lease: this version has no log among gateways to hold leases on; remove `lease(...)`".into()
-        );
-    }
     // One core, so one worker; pinned, all gateways of a machine would share the first core.
     may::config()
         .set_workers(1)
@@ -91,6 +90,10 @@
         .set_worker_pin(false);
 
     let clock = Clock::start();
+    let peers = match &evaluated.operator.lease {
+        Some(lease) => Some(peer::start(lease, clock)?),
+        None => None,
+    };
     let timer = Timer::new(clock);
     let (probes, probes_asked) = mpsc::channel();
     let (watches, watches_asked) = mpsc::channel();
@@ -145,9 +148,17 @@
     };
     info!(name = config.name, listen = %config.listen, "serving");
 
-    let cells = evaluated.operator.cells;
-    let mut running = Running { config, files, source: &source, health, cells, table };
-    while signals.wait().fold(true, |serve, signal| serve & running.serves_on(signal)) {}
+    let cells = evaluated.operator.cells.clone();
+    let agreed = peers.map(|(peers, notices)| Fleetwide::new(peers, notices));
+    let mut running = Running { config, files, source: &source, health, cells, table, agreed };
+    if running.agreed.is_some() {
+        while signals.pending().fold(true, |serve, signal| serve & running.serves_on(signal)) {
+            running.heed(&gateway);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    } else {
+        while signals.wait().fold(true, |serve, signal| serve & running.serves_on(signal)) {}
+    }
     drain(&gateway, &mut signals, &mut running);
     Ok(())
 }
@@ -162,6 +173,8 @@
     cells: Option<asterreel::operator::Cells>,
     /// The drain's timetable, where balancers are told of it.
     table: Option<Timetable>,
+    /// What the fleet agrees on, where there is a log among gateways.
+    agreed: Option<Fleetwide>,
 }
 
 impl Running<'_> {
@@ -179,15 +192,29 @@
 
     /// Reads the operator's file again; one that is bad, or doesn't fit, leaves the old one standing.
     fn operator_again(&mut self) {
-        let Some(path) = &self.files.operator else { return };
-        let evaluated = match self.files.evaluate(cli::EVALUATION_RUNNING) {
-            Ok(evaluated) => evaluated,
-            Err(error) => return warn!("{error}; the operator's file in force stays"),
-        };
-        if let Err(error) = evaluated.beside(&self.config) {
-            return warn!("{error}; the operator's file in force stays");
+        if self.files.operator.is_none() {
+            return;
         }
-        info!(file = %path.display(), "operator's file read again");
+        match self.evaluated() {
+            Ok(evaluated) => match &mut self.agreed {
+                // The fleet puts it in force at an agreed point, or not at all.
+                Some(agreed) => agreed.offer(&evaluated.operator),
+                None => self.enforce(evaluated),
+            },
+            Err(fault) => warn!("{fault}; the operator's file in force stays"),
+        }
+    }
+
+    /// The operator's file as it is now, checked.
+    fn evaluated(&self) -> Result<Evaluated, String> {
+        let evaluated = self.files.evaluate(cli::EVALUATION_RUNNING).map_err(|fault| fault.to_string())?;
+        evaluated.beside(&self.config).map_err(|fault| fault.to_string())?;
+        Ok(evaluated)
+    }
+
+    /// Puts an operator's file in force, as far as a running gateway can.
+    fn enforce(&mut self, evaluated: Evaluated) {
+        info!(file = evaluated.file, "operator's file read again");
         match (&mut self.health, evaluated.operator.health) {
             (Some(handle), Some(health)) => {
                 for key in handle.again(health) {
@@ -201,6 +228,26 @@
             warn!("cells: the change takes effect at the next start");
         }
     }
+
+    /// Answers what the fleet asks, and tells it what was done under its versions.
+    fn heed(&mut self, gateway: &Gateway) {
+        let Some(mut agreed) = self.agreed.take() else { return };
+        agreed.count(gateway);
+        while let Ok(notice) = agreed.notices.try_recv() {
+            match notice {
+                Notice::Judge(topic, number, content) => {
+                    let verdict = agreed.judge(topic, number, &content, || self.evaluated());
+                    agreed.peers.ask(Ask::Judged(topic, number, verdict));
+                }
+                Notice::Enforce(topic, number) => {
+                    if let Some(evaluated) = agreed.take(topic, number) {
+                        self.enforce(evaluated);
+                    }
+                }
+            }
+        }
+        self.agreed = Some(agreed);
+    }
 }
 
 /// Puts a configuration that was read again into force, as far as a running gateway can.
@@ -227,6 +274,9 @@
     if let Some(health) = &running.health {
         health.terminate();
     }
+    if let Some(agreed) = &running.agreed {
+        agreed.peers.ask(Ask::Drain);
+    }
     let longest = running.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let table = running.table.unwrap_or(Timetable::plain(longest));
     let (began, clock) = (gateway.core.clock.now(), gateway.core.clock);
--- /dev/null
+++ b/src/bin/asterreel/peer/node.rs
@@ -0,0 +1,264 @@
+//! The consensus of this gateway: what comes from peers and timers goes in, what must be stored, sent and applied comes
+//! out. It owns the store and the agreed state; it knows no sockets.
+
+use super::store::{Store, StoreError};
+use asterreel::agreed::{Action, Agreed, Diverged, Event};
+use asterreel::interface::Micros;
+use raft::eraftpb::{
+    ConfChange, ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message,
+};
+use raft::{Config, RawNode, SnapshotStatus, StateRole};
+use raft_proto::ConfChangeI;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::info;
+
+/// Entries, and bytes of them, after which a snapshot takes their place: what a gateway keeps in memory of the log.
+const ENTRIES_KEPT: u64 = 4_096;
+const BYTES_KEPT: usize = 1 << 20;
+/// Bytes that one message of entries may have, and messages on their way to one peer: flow control for one behind.
+const MESSAGE: u64 = 128 * 1024;
+const IN_FLIGHT: usize = 16;
+/// Bytes of proposals that wait to be committed; more are dropped, and asked again by whoever needs them.
+const UNCOMMITTED: u64 = 1 << 20;
+
+/// Entries that one that learns may be behind by when it is made one that votes.
+const CAUGHT_UP: u64 = 64;
+
+/// Why the log can't go on at this gateway. It goes on serving clients without it.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error(transparent)]
+    Diverged(#[from] Diverged),
+    #[error("the consensus stopped: {0}; report it, and remove the log's folder to learn it from the peers")]
+    Raft(#[from] raft::Error),
+}
+
+/// Where the consensus stands, for those who look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    pub leader: u64,
+    pub leads: bool,
+    pub term: u64,
+    pub applied: u64,
+}
+
+fn read<M: protobuf::Message>(bytes: &[u8]) -> Result<M, StoreError> {
+    M::parse_from_bytes(bytes).map_err(|fault| StoreError::Read(fault.to_string()))
+}
+
+pub struct Node {
+    raw: RawNode<Store>,
+    agreed: Agreed,
+    place: Place,
+    /// To be proposed once the consensus has nothing ready: in between it takes nothing in.
+    proposals: Vec<Vec<u8>>,
+    kept_bytes: usize,
+    kept_from: u64,
+}
+
+/// The gateway that takes part under a number: its own number is the lower part, and what is above tells apart the logs
+/// that it had. One that lost its log comes back under another number: by the old one it may have voted.
+pub fn gateway_of(id: u64) -> u64 {
+    id & 0xFFFF
+}
+
+/// A number for gateway `gateway` with a log that it never had before.
+pub fn another(gateway: u64, life: u32) -> u64 {
+    u64::from(life) << 16 | gateway
+}
+
+impl Node {
+    /// A gateway's consensus on its store, with an election timeout of so many ticks.
+    pub fn new(
+        id: u64,
+        store: Store,
+        agreed: Agreed,
+        election: usize,
+        now: Micros,
+    ) -> Result<Node, NodeError> {
+        let applied = store.latest().get_metadata().index;
+        let config = Config {
+            id,
+            election_tick: election,
+            heartbeat_tick: (election / 5).max(1),
+            applied,
+            max_size_per_msg: MESSAGE,
+            max_inflight_msgs: IN_FLIGHT,
+            max_uncommitted_size: UNCOMMITTED,
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
+        };
+        let data = store.latest().get_data().to_vec();
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let raw = RawNode::new(&config, store, &logger)?;
+        let place = Place { applied, ..Place::default() };
+        let mut node = Node { raw, agreed, place, proposals: Vec::new(), kept_bytes: 0, kept_from: applied };
+        if !data.is_empty() {
+            node.agreed.handle(now, Event::Restored(&data), &mut Vec::new())?;
+        }
+        Ok(node)
+    }
+
+    pub fn agreed(&self) -> &Agreed {
+        &self.agreed
+    }
+
+    /// The number under which it takes part.
+    pub fn id(&self) -> u64 {
+        self.raw.raft.id
+    }
+
+    pub fn place(&self) -> Place {
+        self.place
+    }
+
+    pub fn tick(&mut self) {
+        self.raw.tick();
+    }
+
+    /// A message from a peer; one that makes no sense is dropped.
+    pub fn step(&mut self, message: Message) {
+        if message.to == self.raw.raft.id {
+            let _ = self.raw.step(message);
+        }
+    }
+
+    /// Who votes and who learns.
+    fn members(&self) -> ConfState {
+        self.raw.raft.prs().conf().to_conf_state()
+    }
+
+    /// As leader, takes a gateway that has another log than it had out of the consensus and in again, first as one that
+    /// learns, then, once it has caught up, as one that votes if it is to. One change at a time.
+    pub fn reconcile(&mut self, known: &BTreeMap<u64, u64>, voters: &BTreeSet<u64>) {
+        let members = self.members();
+        if !self.place.leads || !members.voters_outgoing.is_empty() {
+            return;
+        }
+        let of = |gateway: u64| {
+            let all = members.voters.iter().chain(&members.learners).copied();
+            all.filter(move |id| gateway_of(*id) == gateway)
+        };
+        let single = |kind: ConfChangeType, id: u64| {
+            let mut change = ConfChangeSingle { node_id: id, ..Default::default() };
+            change.set_change_type(kind);
+            change
+        };
+        for (&gateway, &id) in known.iter().filter(|(gateway, _)| **gateway != gateway_of(self.raw.raft.id)) {
+            let mut changes: Vec<ConfChangeSingle> = Vec::new();
+            if !of(gateway).any(|other| other == id) {
+                changes.extend(of(gateway).map(|old| single(ConfChangeType::RemoveNode, old)));
+                changes.push(single(ConfChangeType::AddLearnerNode, id));
+            } else if voters.contains(&gateway) && members.learners.contains(&id) {
+                let progress = self.raw.raft.prs().get(id);
+                let matched = progress.map_or(0, |progress| progress.matched);
+                if matched + CAUGHT_UP >= self.raw.raft.raft_log.committed {
+                    changes.push(single(ConfChangeType::AddNode, id));
+                }
+            }
+            if !changes.is_empty() {
+                let change = ConfChangeV2 { changes: changes.into(), ..Default::default() };
+                let _ = self.raw.propose_conf_change(Vec::new(), change);
+                return;
+            }
+        }
+    }
+
+    pub fn unreachable(&mut self, peer: u64) {
+        self.raw.report_unreachable(peer);
+    }
+
+    pub fn snapshot_sent(&mut self, peer: u64, whole: bool) {
+        let status = if whole { SnapshotStatus::Finish } else { SnapshotStatus::Failure };
+        self.raw.report_snapshot(peer, status);
+    }
+
+    /// Feeds what is agreed with an event of this gateway's own.
+    pub fn event(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) -> Result<(), NodeError> {
+        let mut actions = Vec::new();
+        self.agreed.handle(now, event, &mut actions)?;
+        for action in actions {
+            match action {
+                Action::Propose(bytes) => self.proposals.push(bytes),
+                other => out.push(other),
+            }
+        }
+        Ok(())
+    }
+
+    /// Hands proposals to the consensus. Without a leader they are lost; whoever needs them asks again.
+    fn propose(&mut self) {
+        for bytes in std::mem::take(&mut self.proposals) {
+            let _ = self.raw.propose(Vec::new(), bytes);
+        }
+    }
+
+    /// Stores, sends and applies what the consensus has ready.
+    pub fn drive(
+        &mut self,
+        now: Micros,
+        out: &mut Vec<Action>,
+        send: &mut impl FnMut(Message),
+    ) -> Result<(), NodeError> {
+        self.propose();
+        while self.raw.has_ready() {
+            let mut ready = self.raw.ready();
+            ready.take_messages().into_iter().for_each(&mut *send);
+            let snapshot = Some(ready.snapshot().clone()).filter(|snapshot| !snapshot.is_empty());
+            self.raw.mut_store().write(snapshot.as_ref(), ready.entries(), ready.hs())?;
+            if let Some(snapshot) = snapshot {
+                self.place.applied = snapshot.get_metadata().index;
+                (self.kept_from, self.kept_bytes) = (self.place.applied, 0);
+                self.event(now, Event::Restored(snapshot.get_data()), out)?;
+            }
+            self.apply(now, &ready.take_committed_entries(), out)?;
+            ready.take_persisted_messages().into_iter().for_each(&mut *send);
+            if let Some(soft) = ready.ss() {
+                let leads = soft.raft_state == StateRole::Leader;
+                self.place.leader = soft.leader_id;
+                if leads != self.place.leads {
+                    self.place.leads = leads;
+                    self.event(now, Event::Leading(leads), out)?;
+                }
+            }
+            let mut light = self.raw.advance(ready);
+            if let Some(commit) = light.commit_index() {
+                self.raw.mut_store().committed(commit);
+            }
+            light.take_messages().into_iter().for_each(&mut *send);
+            self.apply(now, &light.take_committed_entries(), out)?;
+            self.raw.advance_apply();
+            self.propose();
+        }
+        self.place.term = self.raw.raft.term;
+        let over = self.place.applied - self.kept_from >= ENTRIES_KEPT || self.kept_bytes >= BYTES_KEPT;
+        if over {
+            let data = self.agreed.snapshot();
+            self.raw.mut_store().compact(self.place.applied, data)?;
+            (self.kept_from, self.kept_bytes) = (self.place.applied, 0);
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, now: Micros, entries: &[Entry], out: &mut Vec<Action>) -> Result<(), NodeError> {
+        for entry in entries {
+            self.place.applied = entry.index;
+            self.kept_bytes += entry.data.len();
+            let change = match entry.get_entry_type() {
+                EntryType::EntryNormal => {
+                    self.event(now, Event::Committed(&entry.data), out)?;
+                    continue;
+                }
+                EntryType::EntryConfChange => read::<ConfChange>(&entry.data)?.into_v2(),
+                EntryType::EntryConfChangeV2 => read::<ConfChangeV2>(&entry.data)?,
+            };
+            let members = self.raw.apply_conf_change(&change)?;
+            info!(at = now, voters = ?members.voters, learners = ?members.learners, "log: members");
+            self.raw.mut_store().members(&members)?;
+        }
+        Ok(())
+    }
+}
--- a/src/lease/member.rs
+++ b/src/lease/member.rs
@@ -107,6 +107,12 @@
         &self.table
     }
 
+    /// Takes over what others agreed on, in place of the entries. Each lease counts as learned just now.
+    pub fn restore(&mut self, now: Micros, table: Table) {
+        self.table = table;
+        self.duties.values_mut().for_each(|local| local.learned_at = Some(now));
+    }
+
     /// Who does a duty now.
     pub fn status(&self, duty: Duty, now: Micros) -> Status {
         let local = self.duties.get(&duty).copied().unwrap_or_default();
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -18,7 +18,7 @@
 
 pub use fence::Fence;
 pub use member::{Action, Event, Leases, Status};
-pub use table::{Entry, Outcome, Refusal, Table};
+pub use table::{Entry, Gap, Outcome, Refusal, Table};
 
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod agreed;
 pub mod cells;
 pub mod config;
 pub mod fleet;
@@ -21,3 +22,4 @@
 pub mod policy;
 pub mod settings;
 mod state;
+pub mod versions;
--- /dev/null
+++ b/src/versions/audit.rs
@@ -0,0 +1,150 @@
+//! Who acted on which version: sums by gateway, life, topic and version, from reports that count once.
+
+use super::{Holder, Topic};
+use crate::interface::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Lives of one gateway whose reports are told apart; a report of an older life is refused. Ours.
+const LIVES: usize = 8;
+/// Rows kept; the oldest versions' go first. About 80 bytes each, so 320 KiB. Ours.
+const ROWS: usize = 4_096;
+/// Spans that one report may hold. Ours: four topics, and three versions each while it could not be sent.
+pub const SPANS: usize = 16;
+
+/// What a gateway did under one version, from one moment to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Span {
+    /// Of what.
+    pub topic: Topic,
+    /// The version.
+    pub number: u64,
+    /// The first action, microseconds on the gateway's own clock.
+    pub from: Micros,
+    /// The last action, microseconds on the gateway's own clock.
+    pub until: Micros,
+    /// How many.
+    pub count: u64,
+}
+
+impl Span {
+    /// Takes in actions at a time.
+    pub fn add(&mut self, at: Micros, count: u64) {
+        self.from = self.from.min(at);
+        self.until = self.until.max(at);
+        self.count = self.count.saturating_add(count);
+    }
+}
+
+/// What one life of a gateway did under one version, by all of its reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Row {
+    /// Who.
+    pub who: Holder,
+    /// What it did.
+    pub span: Span,
+}
+
+/// The audit's sums. Deterministic: the same entries give the same rows on every gateway.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Audit {
+    rows: Vec<Row>,
+    /// By gateway, the last report of each of its latest lives, the latest last.
+    reports: BTreeMap<u32, Vec<(u32, u64)>>,
+}
+
+impl Audit {
+    /// The sums, oldest first.
+    pub fn rows(&self) -> &[Row] {
+        &self.rows
+    }
+
+    /// The last report of a life that was counted; 0 before the first.
+    pub fn last(&self, who: Holder) -> u64 {
+        let lives = self.reports.get(&who.gateway);
+        let life = lives.and_then(|lives| lives.iter().find(|(life, _)| *life == who.life));
+        life.map_or(0, |(_, last)| *last)
+    }
+
+    /// Counts a report; false where it is not the next one of its life, or too long, and nothing changes.
+    pub fn report(&mut self, who: Holder, sequence: u64, spans: &[Span]) -> bool {
+        if sequence != self.last(who) + 1 || spans.len() > SPANS {
+            return false;
+        }
+        let lives = self.reports.entry(who.gateway).or_default();
+        match lives.iter_mut().find(|(life, _)| *life == who.life) {
+            Some((_, last)) => *last = sequence,
+            None => {
+                if lives.len() == LIVES {
+                    lives.remove(0);
+                }
+                lives.push((who.life, sequence));
+            }
+        }
+        for span in spans {
+            let same = |row: &&mut Row| {
+                row.who == who && (row.span.topic, row.span.number) == (span.topic, span.number)
+            };
+            match self.rows.iter_mut().find(same) {
+                Some(row) => {
+                    row.span.add(span.from, 0);
+                    row.span.add(span.until, span.count);
+                }
+                None => self.rows.push(Row { who, span: *span }),
+            }
+        }
+        let over = self.rows.len().saturating_sub(ROWS);
+        self.rows.drain(..over);
+        true
+    }
+
+    /// The actions counted under a version.
+    pub fn count(&self, topic: Topic, number: u64) -> u64 {
+        let of = self.rows.iter().filter(|row| (row.span.topic, row.span.number) == (topic, number));
+        of.map(|row| row.span.count).sum()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const A: Holder = Holder { gateway: 1, life: 7 };
+
+    fn span(number: u64, from: Micros, until: Micros, count: u64) -> Span {
+        Span { topic: Topic::Catalog, number, from, until, count }
+    }
+
+    #[test]
+    fn a_report_counts_once_whether_doubled_lost_or_out_of_order() {
+        let mut audit = Audit::default();
+        assert!(!audit.report(A, 2, &[span(1, 5, 6, 1)]), "the first one is missing");
+        assert!(audit.report(A, 1, &[span(1, 10, 20, 3)]));
+        assert!(!audit.report(A, 1, &[span(1, 10, 20, 3)]), "doubled");
+        assert!(audit.report(A, 2, &[span(1, 21, 30, 4), span(2, 31, 31, 1)]));
+        assert_eq!((audit.count(Topic::Catalog, 1), audit.count(Topic::Catalog, 2)), (7, 1));
+        assert_eq!(audit.rows()[0].span, span(1, 10, 30, 7));
+        // Another life counts anew, and the former one's late report still counts once.
+        let reborn = Holder { life: 9, ..A };
+        assert!(audit.report(reborn, 1, &[span(2, 1, 2, 5)]));
+        assert!(audit.report(A, 3, &[span(2, 32, 33, 2)]));
+        assert_eq!(audit.count(Topic::Catalog, 2), 8);
+    }
+
+    #[test]
+    fn rows_and_lives_are_bounded() {
+        let mut audit = Audit::default();
+        for life in 0..20 {
+            let who = Holder { gateway: 1, life };
+            for sequence in 1..=300 {
+                let number = u64::from(life) * 300 + sequence;
+                assert!(audit.report(who, sequence, &[span(number, 0, 1, 1)]));
+            }
+        }
+        assert_eq!(audit.rows().len(), ROWS);
+        assert_eq!(audit.rows()[ROWS - 1].span.number, 6_000, "the newest stay");
+        assert_eq!(audit.reports[&1].len(), LIVES);
+        let many = vec![span(1, 0, 1, 1); SPANS + 1];
+        assert!(!audit.report(Holder { gateway: 2, life: 0 }, 1, &many));
+    }
+}
--- /dev/null
+++ b/src/versions/mod.rs
@@ -0,0 +1,158 @@
+//! Which version of what the fleet shares is in force, who may act on it, and who acted on which.
+//!
+//! A *topic* has versions: the operator's file, the placement of cells, the catalog of statements, the program's own
+//! format. A new version is **offered** by an entry of the shared log, every gateway that holds a **seat** judges it, and
+//! it comes **in force** at the entry that completes their verdicts: each has accepted it, or has lost its seat. One
+//! refusal drops it, with its reason, and the former one stays. A seat is a right to act, kept by entries like a lease
+//! ([`crate::lease`]): its gateway counts it from before it asked, the others from when they learned, so a gateway that
+//! can't reach the log stops by itself before anybody may take its seat away.
+//!
+//! Why no gateway ever acts on a third version: a verdict on version `n` is written by a gateway that has applied the
+//! offer of `n`, hence the entry that put `n`'s predecessor in force; `n` comes in force only with the verdicts of all
+//! seats; so whoever has a right to act then acts on `n` or on its predecessor. It rests on the log's order and, for
+//! seats that are taken away, on clock rates alone (`docs/design/versions.md`).
+//!
+//! [`Versions`] is the one door of a gateway: events in, actions out, time an argument. Nothing here sends, stores,
+//! reads a clock or a file, or looks into what a version holds: the caller judges contents.
+
+mod audit;
+mod member;
+mod table;
+
+pub use audit::{Audit, Row, Span};
+pub use member::{Action, Event, Right, Versions, Why};
+pub use table::{Open, Outcome, Refusal, Seat, Standing, Table, Version};
+
+use crate::interface::Micros;
+use crate::lease::{Holder, Index, Token};
+use serde::{Deserialize, Serialize};
+
+/// The longest content of a version, bytes: what is agreed is kept in memory by every gateway, twice per topic.
+pub const LONGEST_CONTENT: usize = 64 * 1024;
+/// The longest reason for a refusal that is kept, bytes.
+pub const LONGEST_REASON: usize = 200;
+
+/// What has versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Topic {
+    /// The operator's file; its content here is a digest.
+    Operator,
+    /// The placement of tenants in cells.
+    Placement,
+    /// The statements that are valid, and the schema they need.
+    Catalog,
+    /// The format that gateways write.
+    Program,
+}
+
+impl Topic {
+    /// All of them; their order is the same in every version of the program.
+    pub const ALL: [Topic; 4] = [Topic::Operator, Topic::Placement, Topic::Catalog, Topic::Program];
+
+    /// Its place in [`Topic::ALL`].
+    pub fn number(self) -> u32 {
+        self as u32
+    }
+
+    /// The topic at a place, if there is one.
+    pub fn numbered(number: u32) -> Option<Topic> {
+        usize::try_from(number).ok().and_then(|place| Topic::ALL.get(place)).copied()
+    }
+}
+
+/// The formats of contents that a build understands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Formats {
+    /// The oldest.
+    pub oldest: u32,
+    /// The newest.
+    pub newest: u32,
+}
+
+impl Formats {
+    /// Whether a content of this format is understood.
+    pub fn understand(self, format: u32) -> bool {
+        (self.oldest..=self.newest).contains(&format)
+    }
+}
+
+/// What a version says, opaque here.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Content {
+    /// What a build must understand to judge it.
+    pub format: u32,
+    /// Up to [`LONGEST_CONTENT`] bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// What gateways write into the log about versions. Whether one takes effect depends on the log alone.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Command {
+    /// Give me a seat: I have applied the log up to here and understand these formats.
+    Join {
+        /// Who.
+        who: Holder,
+        /// What it understands.
+        formats: Formats,
+        /// When it asked, microseconds on its own clock; the others ignore it.
+        at: Micros,
+    },
+    /// Keep my seat for another lease, counted from `at`.
+    Keep {
+        /// Who.
+        who: Holder,
+        /// Its seat.
+        token: Token,
+        /// When it asked, microseconds on its own clock; the others ignore it.
+        at: Micros,
+    },
+    /// Take my seat: I have stopped acting.
+    Leave {
+        /// Who.
+        who: Holder,
+        /// Its seat.
+        token: Token,
+    },
+    /// Take the seat of a gateway whose right has run out, if it has not been kept since the entry `seen`.
+    Expel {
+        /// Whose.
+        who: Holder,
+        /// The entry that last changed the seat when its wait was over.
+        seen: Index,
+    },
+    /// Put this version in force once all accept it.
+    Offer {
+        /// Who offers.
+        who: Holder,
+        /// Its seat.
+        token: Token,
+        /// Of what.
+        topic: Topic,
+        /// The version in force that it is to follow; 0 is none.
+        seen: u64,
+        /// What it says.
+        content: Content,
+    },
+    /// I accept this version, or refuse it for a reason.
+    Verdict {
+        /// Who judges.
+        who: Holder,
+        /// Its seat.
+        token: Token,
+        /// Of what.
+        topic: Topic,
+        /// The version.
+        number: u64,
+        /// The reason of a refusal is up to [`LONGEST_REASON`] bytes.
+        verdict: Result<(), String>,
+    },
+    /// What I did under which version; reports of a life count from 1, and each counts once.
+    Report {
+        /// Who reports.
+        who: Holder,
+        /// Its place among this life's reports.
+        sequence: u64,
+        /// What it did.
+        spans: Vec<Span>,
+    },
+}
--- /dev/null
+++ b/tests/cluster.rs
@@ -0,0 +1,131 @@
+//! Fleets of real gateway processes that share a log, with faults put between them.
+
+use asterreel_rig::cluster::{history, play, Cluster};
+use nix::sys::signal::Signal;
+use std::path::PathBuf;
+use std::time::Duration;
+
+fn program() -> PathBuf {
+    env!("CARGO_BIN_EXE_asterreel").into()
+}
+
+const LONG: Duration = Duration::from_secs(20);
+
+/// A fleet with a first version in force.
+fn agreed(gateways: usize, voters: usize) -> Cluster {
+    let mut cluster = Cluster::start(program(), gateways, voters).expect("started");
+    let took = cluster.agree(LONG).expect("played");
+    if took.is_none() {
+        cluster.history().iter().for_each(|line| println!("{} {}", line.gateway, line.fields));
+    }
+    assert!(took.is_some(), "{:?} {:?}", cluster.in_force(), cluster.ended());
+    cluster
+}
+
+fn no_violation(cluster: &Cluster) {
+    assert_eq!(history::violations(&cluster.history()), Vec::<String>::new());
+}
+
+#[test]
+fn a_minority_that_is_cut_off_stops_by_itself_and_the_majority_goes_on() {
+    let mut cluster = agreed(5, 5);
+    let before = cluster.in_force()[0];
+    cluster.part(&[0, 1], true);
+    let stopped = |gateway: u64| {
+        move |cluster: &Cluster| {
+            let own = cluster.history();
+            let seats = own.iter().filter(|line| line.gateway == gateway);
+            let last =
+                seats.filter_map(|line| line.fields["message"].as_str()).rfind(|m| m.starts_with("seat: "));
+            last.is_some_and(|message| message.starts_with("seat: stopped"))
+        }
+    };
+    for gateway in [1, 2] {
+        assert!(cluster.wait(LONG, stopped(gateway)).is_some(), "gateway {gateway} goes on without the log");
+    }
+    let moved = |cluster: &Cluster| cluster.in_force()[2..].iter().all(|number| *number > before);
+    let mut offered = false;
+    for by in [2, 3, 4, 2, 3, 4] {
+        cluster.offer(by, None).expect("offered");
+        offered |= cluster.wait(Duration::from_secs(3), moved).is_some();
+        if offered {
+            break;
+        }
+    }
+    assert!(offered, "three of five agree on a version: {:?}", cluster.in_force());
+    assert_eq!(cluster.in_force()[..2], [before, before], "and the others have not heard of it");
+    cluster.heal();
+    assert!(
+        cluster.agree(LONG).expect("played").is_some(),
+        "after that all agree again: {:?}",
+        cluster.in_force()
+    );
+    no_violation(&cluster);
+}
+
+#[test]
+fn a_file_that_one_gateway_finds_bad_is_put_in_force_nowhere() {
+    let mut cluster = agreed(5, 3);
+    let before = cluster.in_force();
+    cluster.spoil(4).expect("written");
+    cluster.offer(0, Some(4)).expect("offered");
+    let refused = |cluster: &Cluster| {
+        let history = cluster.history();
+        let refusals = history.iter().filter(|line| line.fields["message"] == "version: refused");
+        refusals.filter(|line| line.fields["by"] == 5).count() >= 5
+    };
+    assert!(cluster.wait(LONG, refused).is_some(), "each gateway hears who refused it");
+    assert_eq!(cluster.in_force(), before);
+    assert!(cluster.agree(LONG).expect("played").is_some(), "a good one is taken");
+    no_violation(&cluster);
+}
+
+#[test]
+fn one_that_stood_still_past_its_right_finds_that_it_has_none() {
+    let mut cluster = agreed(3, 3);
+    cluster.signal(0, Signal::SIGSTOP);
+    let lost = |cluster: &Cluster| {
+        let history = cluster.history();
+        history.iter().any(|line| {
+            line.gateway != 1
+                && line.fields["message"] == "version: in force"
+                && line.fields["number"].as_u64() > Some(0)
+        })
+    };
+    assert!(cluster.wait(LONG, lost).is_some());
+    std::thread::sleep(Duration::from_millis(2_000));
+    cluster.signal(0, Signal::SIGCONT);
+    assert!(cluster.agree(LONG).expect("played").is_some(), "it comes back: {:?}", cluster.in_force());
+    no_violation(&cluster);
+}
+
+#[test]
+fn a_voter_that_lost_its_disk_learns_the_log_again_and_then_another() {
+    let mut cluster = agreed(3, 3);
+    for voter in [0, 1] {
+        cluster.wipe(voter).expect("wiped");
+        cluster.revive(voter).expect("started");
+        assert!(cluster.agree(LONG).expect("played").is_some(), "{:?}", cluster.in_force());
+    }
+    no_violation(&cluster);
+}
+
+#[test]
+fn all_of_a_fleet_started_again_at_once_go_on_from_their_disks() {
+    let mut cluster = agreed(3, 3);
+    let before = cluster.in_force()[0];
+    (0..3).for_each(|gateway| cluster.kill(gateway));
+    (0..3).for_each(|gateway| cluster.revive(gateway).expect("started"));
+    assert!(cluster.agree(LONG).expect("played").is_some(), "{:?}", cluster.in_force());
+    assert!(cluster.in_force()[0] > before, "its versions are numbered on");
+    no_violation(&cluster);
+}
+
+#[test]
+fn fleets_under_random_faults_break_nothing_and_are_well_soon_after() {
+    for (seed, gateways) in [(1, 5), (2, 3)] {
+        let found = play(program(), seed, gateways, Duration::from_secs(10)).expect("played");
+        assert_eq!(found.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(found.faults > 10 && found.versions > 1, "seed {seed}: {found:?}");
+    }
+}
