Play the decisions against a model of members under settings drawn at random

Need: what only worked at one deployment by luck shows where a setting takes a value that it never drew. Change: tests/settings.rs draws classes, modes, permits and figures with proptest and checks every rule after every step: one answer in time, no second attempt, nothing resent or refused beyond its class, drains, no stale read, group, attempts, waits, permits.

--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,557 @@
+//! The defence against luck: settings drawn at random over every mode that the protocol pages name, and the decision
+//! module played against a model of members of our own, with every rule checked after every step.
+//!
+//! `SETTINGS_CASES=500 cargo test --release --test settings` plays more than CI does.
+mod common;
+
+use asterreel::interface::*;
+use asterreel::policy::Router;
+use common::MS;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestRunner};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+const SECOND: Micros = 1_000 * MS;
+const START: Micros = 1_000 * SECOND;
+const SPAN: Micros = 12 * SECOND;
+
+fn class() -> impl Strategy<Value = (Class, Need, Micros)> {
+    let keyed = (prop_oneof![Just(Scope::All), Just(Scope::Zone), Just(Scope::Group)], 500..6_000_u64)
+        .prop_map(|(scope, ms)| Effect::Keyed { scope, window: ms * MS });
+    let write = prop_oneof![Just(Effect::Unsafe), keyed].prop_map(|effect| (Need::Write, effect));
+    let reads = prop_oneof![
+        Just(Need::Any),
+        Just(Need::Bounded),
+        Just(Need::Session),
+        Just(Need::Fresh)
+    ];
+    let need = prop_oneof![1 => write, 3 => reads.prop_map(|need| (need, Effect::Safe))];
+    let times = (50..2_000_u64, 2..6_u64, 0.0..1.0_f64, 1.0..6.0_f64, 50..1_500_u64);
+    (need, times).prop_map(|((need, effect), (aim, times, late_worth, worth, bound))| {
+        let (aim, deadline) = (aim * MS, aim * times * MS);
+        let class = Class { effect, aim, aim_stretch: 0.0, deadline, worth, late_worth };
+        (class, need, if need == Need::Bounded { bound * MS } else { 0 })
+    })
+}
+
+fn permit() -> impl Strategy<Value = Permit> {
+    prop_oneof![Just(Permit::Allowed), Just(Permit::Forbidden)]
+}
+
+fn settings() -> impl Strategy<Value = Settings> {
+    let classes = prop::collection::vec(class(), 1..5);
+    let modes = (
+        prop_oneof![Just(Discovery::Push), Just(Discovery::Ask)],
+        prop_oneof![Just(Checks::None), Just(Checks::TurnsAway)],
+        prop_oneof![Just(Tokens::Carried), Just(Tokens::Remembered)],
+        prop_oneof![
+            Just(ListedRole::Late),
+            Just(ListedRole::Start),
+            Just(ListedRole::Never)
+        ],
+        prop_oneof![Just(DrainBinds::DrainingAndGone), Just(DrainBinds::DrainingOnly)],
+    );
+    let permits = (permit(), permit(), permit(), permit());
+    let figures =
+        (prop_oneof![Just(1_u32), Just(2), Just(3), Just(300)], 1..12_u32, 1..4_000_u64, 1_000..20_000_u64);
+    let cold = (0.05..1.0_f64, 1_000..20_000_u64, 1.5..4.0_f64, 500..3_000_u64);
+    (classes, modes, permits, figures, cold).prop_map(|(classes, modes, permits, figures, cold)| {
+        let (discovery, checks, tokens, listed_role, drain_binds) = modes;
+        let (probes, cancel, come_back, positions) = permits;
+        let (fleet, max_attempts, max_come_back, ask_every) = figures;
+        let base = common::settings();
+        Settings {
+            needs: classes.iter().map(|class| class.1).collect(),
+            bounds: classes.iter().map(|class| class.2).collect(),
+            classes: classes.into_iter().map(|class| class.0).collect(),
+            fleet,
+            discovery,
+            checks,
+            tokens,
+            positions,
+            listed_role,
+            probes,
+            cancel,
+            come_back,
+            max_come_back: max_come_back * MS,
+            max_attempts,
+            ask_every: ask_every * MS,
+            drain_binds,
+            cold_share: cold.0,
+            cold_for: cold.1 * MS,
+            fall_multiple: cold.2,
+            fall_for: cold.3 * MS,
+            ..base
+        }
+    })
+}
+
+/// A member as it is, whatever the router knows.
+#[derive(Clone)]
+struct Member {
+    group: u64,
+    zone: u32,
+    state: EntryState,
+    lag: Micros,
+    /// All up to here is applied for certain: a position never goes back.
+    floor: Micros,
+    work: Micros,
+    alive: bool,
+    /// From when its list entry forbids a send: the router was told then.
+    bound_at: Option<Micros>,
+    /// Once primary, and until when an answer of its own has not told the router otherwise.
+    excused: bool,
+}
+
+struct Open {
+    class: usize,
+    group: u64,
+    due: Micros,
+    received: Micros,
+    session: Option<u64>,
+    /// The last commit of its session when it came.
+    token: Micros,
+    /// Attempts: member, sent, still out, may have run.
+    attempts: Vec<(u32, Micros, bool, bool)>,
+    answered: bool,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Next {
+    Arrive,
+    Trouble,
+    Wake,
+    End(u64, usize),
+    Report(u32),
+    Watched,
+}
+
+struct World {
+    settings: Settings,
+    router: Router,
+    rng: fastrand::Rng,
+    now: Micros,
+    members: BTreeMap<u32, Member>,
+    primaries: BTreeMap<u64, u32>,
+    open: BTreeMap<u64, Open>,
+    events: BinaryHeap<Reverse<(Micros, u64, Next)>>,
+    number: u64,
+    cancelled: Vec<(u64, usize)>,
+    served: u32,
+    /// What a session has been answered with, by session.
+    commits: BTreeMap<u64, Micros>,
+    calls_due: u32,
+    /// What happened last, for whoever looks into a broken rule.
+    trace: VecDeque<String>,
+}
+
+type Broken = Result<(), String>;
+
+impl World {
+    fn new(settings: Settings, seed: u64) -> World {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let router = Router::new(settings.clone(), seed, START).expect("good settings");
+        let (mut members, mut primaries) = (BTreeMap::new(), BTreeMap::new());
+        for group in 0..rng.u64(1..4) {
+            for place in 0..rng.u32(1..6) {
+                let id = members.len() as u32;
+                let (zone, work) = (rng.u32(0..2), rng.u64(2..60) * MS);
+                let lag = if place == 0 { 0 } else { rng.u64(1..400) * MS };
+                let (state, alive) = (EntryState::On, true);
+                let excused = place == 0;
+                let floor = START - lag;
+                let member = Member { group, zone, state, lag, floor, work, alive, bound_at: None, excused };
+                members.insert(id, member);
+                primaries.entry(group).or_insert(id);
+            }
+        }
+        World {
+            settings,
+            router,
+            rng,
+            now: START,
+            members,
+            primaries,
+            open: BTreeMap::new(),
+            events: BinaryHeap::new(),
+            number: 0,
+            cancelled: Vec::new(),
+            served: 0,
+            commits: BTreeMap::new(),
+            calls_due: 0,
+            trace: VecDeque::new(),
+        }
+    }
+
+    fn later(&mut self, after: Micros, next: Next) {
+        self.number += 1;
+        self.events.push(Reverse((self.now + after, self.number, next)));
+    }
+
+    fn entry(&self, id: u32) -> Entry {
+        let member = &self.members[&id];
+        let primary = self.primaries.get(&member.group) == Some(&id);
+        let told = primary && self.settings.listed_role != ListedRole::Never;
+        Entry {
+            member: MemberId(id),
+            group: GroupId(member.group),
+            zone: ZoneId(member.zone),
+            state: member.state,
+            started: 0,
+            role: if told { Role::Primary } else { Role::Replica },
+            size: 1.0,
+            lot: u64::from(id).wrapping_mul(0x9E37_79B9),
+        }
+    }
+
+    fn position(&self, member: &Member) -> Micros {
+        member.floor.max(self.now - member.lag)
+    }
+
+    fn note(&self, id: u32) -> Note {
+        let member = &self.members[&id];
+        let primary = self.primaries.get(&member.group) == Some(&id);
+        let role = if primary { Role::Primary } else { Role::Replica };
+        let position = self.settings.positions.granted().then(|| self.position(member));
+        Note { role: Some(role), position }
+    }
+
+    fn feed(&mut self, event: Event) -> Broken {
+        let mut actions = Vec::new();
+        let text = format!("{} {event:?}", self.now - START);
+        self.router.handle(self.now, event, &mut actions);
+        self.trace.push_back(format!("{text} -> {actions:?}"));
+        if self.trace.len() > 24 {
+            self.trace.pop_front();
+        }
+        actions.into_iter().try_for_each(|action| self.act(action))
+    }
+
+    fn act(&mut self, action: Action) -> Broken {
+        match action {
+            Action::Send(request, to, timeout) => self.send(request.0, to.0, timeout),
+            Action::Refuse(request, come_back) => {
+                if come_back.is_some_and(|wait| wait > self.settings.max_come_back)
+                    || come_back.is_some() && !self.settings.come_back.granted()
+                {
+                    return Err(format!("come back after {come_back:?}"));
+                }
+                let Some(open) = self.open.get(&request.0) else { return Ok(()) };
+                let effect = self.settings.classes[open.class].effect;
+                let may_have_run = open.attempts.iter().any(|attempt| attempt.3);
+                let harmless = matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
+                if may_have_run && !harmless {
+                    return Err(format!("{request:?} may have run and is refused"));
+                }
+                self.answer(request.0)
+            }
+            Action::Fail(request) => self.answer(request.0),
+            Action::Cancel(request, attempt) => {
+                if !self.settings.cancel.granted() {
+                    return Err("called off where that is not allowed".into());
+                }
+                self.cancelled.push((request.0, attempt.0 as usize));
+                self.later(MS, Next::End(request.0, attempt.0 as usize));
+                Ok(())
+            }
+            Action::Probe(member) => {
+                if !self.settings.probes.granted() {
+                    return Err("probed where that is not allowed".into());
+                }
+                self.bound(member.0)?;
+                self.later(2 * MS, Next::Report(member.0));
+                Ok(())
+            }
+            Action::Watch => {
+                self.later(5 * MS, Next::Watched);
+                if self.settings.discovery == Discovery::Push && self.calls_due == 0 {
+                    return Err("watched where lists are pushed and none was lost".into());
+                }
+                self.calls_due = self.calls_due.saturating_sub(1);
+                Ok(())
+            }
+            Action::WakeAfter(after) => {
+                self.later(after, Next::Wake);
+                Ok(())
+            }
+            Action::Remark(..) => Ok(()),
+        }
+    }
+
+    fn answer(&mut self, request: u64) -> Broken {
+        let Some(open) = self.open.get_mut(&request) else {
+            return Err(format!("{request} is answered and was never taken, or is over"));
+        };
+        if std::mem::replace(&mut open.answered, true) {
+            return Err(format!("{request} is answered twice"));
+        }
+        Ok(())
+    }
+
+    /// Whether a member that the router was told to leave alone is left alone.
+    fn bound(&self, id: u32) -> Broken {
+        match self.members.get(&id) {
+            None => Err(format!("member {id} was never listed")),
+            Some(member) if member.bound_at.is_some() => {
+                Err(format!("sent to {id}, which drains or is gone"))
+            }
+            Some(_) => Ok(()),
+        }
+    }
+
+    fn send(&mut self, request: u64, to: u32, timeout: Micros) -> Broken {
+        self.bound(to)?;
+        let (now, settings) = (self.now, &self.settings);
+        let member = &self.members[&to];
+        let position = self.position(member);
+        let Some(open) = self.open.get_mut(&request).filter(|open| !open.answered) else {
+            return Err(format!("{request} is sent and is over"));
+        };
+        let class = &settings.classes[open.class];
+        if member.group != open.group || now + timeout > open.due || timeout == 0 {
+            return Err(format!("{request} is sent to another group, or to be waited for too long"));
+        }
+        if open.attempts.len() >= settings.max_attempts as usize {
+            return Err(format!("{request} has too many attempts"));
+        }
+        if open.attempts.iter().any(|attempt| attempt.2) {
+            return Err(format!("{request} has two attempts out"));
+        }
+        let first = open.attempts.iter().find(|attempt| attempt.3);
+        match (first, class.effect) {
+            (None, _) | (_, Effect::Safe) => {}
+            (Some(_), Effect::Unsafe) => return Err(format!("{request} may have run and is sent again")),
+            (Some((earlier, sent, ..)), Effect::Keyed { scope, window }) => {
+                let zone = self.members[earlier].zone;
+                if now >= sent + window || scope == Scope::Zone && zone != member.zone {
+                    return Err(format!("{request} is repeated where its key is not known any more"));
+                }
+            }
+        }
+        // Members that check reads see to it themselves; others answer from what they have.
+        let need = settings.needs[open.class];
+        let must_see = match need {
+            Need::Bounded => now - settings.bounds[open.class],
+            Need::Fresh => open.received,
+            Need::Session => open.token,
+            Need::Any | Need::Write => 0,
+        };
+        let told = settings.positions.granted();
+        if settings.checks == Checks::None && told && !member.excused && position < must_see {
+            return Err(format!("{request} ({need:?}) is sent to {to}, {} us behind", now - position));
+        }
+        let at = open.attempts.len();
+        open.attempts.push((to, now, true, true));
+        let took = self.rng.f64() * 2.0 * member.work as f64 + 1.0;
+        let after = if member.alive { (took as Micros).min(timeout) } else { timeout.min(250 * MS) };
+        self.later(after, Next::End(request, at));
+        Ok(())
+    }
+
+    /// An attempt ends, one way or another.
+    fn end(&mut self, request: u64, at: usize) -> Broken {
+        let Some(open) = self.open.get(&request) else { return Ok(()) };
+        let Some(&(to, sent, true, _)) = open.attempts.get(at) else { return Ok(()) };
+        let member = self.members[&to].clone();
+        let need = self.settings.needs[open.class];
+        let primary = self.primaries.get(&member.group) == Some(&to);
+        let session = open.session;
+        let checked = self.settings.checks == Checks::TurnsAway;
+        let behind = need == Need::Bounded && member.lag > self.settings.bounds[open.class]
+            || need == Need::Fresh && !primary
+            || need == Need::Session && !primary && member.lag > 0;
+        let outcome = if self.cancelled.contains(&(request, at)) {
+            Outcome::Cancelled
+        } else if !member.alive {
+            if self.rng.bool() {
+                Outcome::ConnectFailed
+            } else {
+                Outcome::TimedOut
+            }
+        } else if need == Need::Write && !primary || checked && behind {
+            Outcome::Miss
+        } else {
+            match self.rng.u8(0..40) {
+                0 => Outcome::Error,
+                1 => Outcome::Full,
+                2 => Outcome::Reset,
+                3 => Outcome::Unusable,
+                _ => Outcome::Served,
+            }
+        };
+        let now = self.now;
+        let open = self.open.get_mut(&request).expect("it is there");
+        open.attempts[at].2 = false;
+        open.attempts[at].3 = !outcome.proves_nothing_ran();
+        let told = matches!(outcome, Outcome::Served | Outcome::Miss | Outcome::Error | Outcome::Full);
+        let note = if told { self.note(to) } else { Note::default() };
+        let served = outcome == Outcome::Served;
+        let owed = !self.open[&request].answered;
+        let standing = if served || !owed { Standing::Finished } else { Standing::Owed };
+        if served && owed {
+            self.answer(request)?;
+            self.served += 1;
+            if let (Need::Write, Some(session)) = (need, session) {
+                let commit = self.commits.entry(session).or_default();
+                *commit = now.max(*commit);
+            }
+        }
+        let note = if served && need == Need::Write { Note { position: Some(now), ..note } } else { note };
+        let ended = Ended {
+            request: RequestId(request),
+            attempt: AttemptNo(at as u32),
+            outcome,
+            latency: now - sent,
+            note,
+            report: Note::default(),
+            standing,
+        };
+        if told && !primary {
+            self.members.entry(to).and_modify(|member| member.excused = false);
+        }
+        self.feed(Event::Ended(ended))
+    }
+
+    fn arrive(&mut self) -> Broken {
+        let request = self.number;
+        let class = self.rng.usize(0..self.settings.classes.len());
+        let groups = self.primaries.len() as u64;
+        let group = self.rng.u64(0..groups);
+        let due = self.now + self.settings.classes[class].deadline * self.rng.u64(4..=10) / 10;
+        let session = Some(self.rng.u64(0..20));
+        let carried = self.settings.tokens == Tokens::Carried;
+        // What a session carries is how long ago it last wrote.
+        let wrote = session.and_then(|session| self.commits.get(&session)).copied();
+        let since_write = wrote.filter(|_| carried).map(|at| self.now - at);
+        let token = wrote.unwrap_or(0);
+        let (received, attempts, answered) = (self.now, Vec::new(), false);
+        self.open.insert(request, Open { class, group, due, received, session, token, attempts, answered });
+        self.feed(Event::Arrive(Arrival {
+            request: RequestId(request),
+            class: ClassId(class),
+            tenant: TenantId(0),
+            session: session.map(SessionId),
+            due,
+            estimate: None,
+            group: GroupId(group),
+            since_write,
+        }))
+    }
+
+    /// Something happens to a member, and the list says so.
+    fn trouble(&mut self) -> Broken {
+        let id = self.rng.u32(0..self.members.len() as u32);
+        let group = self.members[&id].group;
+        match self.rng.u8(0..8) {
+            0 => self.members.entry(id).and_modify(|member| member.alive = false),
+            1 => self.members.entry(id).and_modify(|member| member.alive = true),
+            2 => {
+                // A primary stands at the present; the one before it does not any more.
+                let old = self.primaries.insert(group, id).unwrap_or(id);
+                let now = self.now;
+                self.members.entry(old).and_modify(|member| (member.lag, member.floor) = (20 * MS, now));
+                self.members.entry(id).and_modify(|member| (member.lag, member.excused) = (0, true))
+            }
+            // An answer is known to hold from then on: a member never falls back behind what it said, so lag grows
+            // by time passing alone. Here it only shrinks.
+            3 => self.members.entry(id).and_modify(|member| member.lag /= 2),
+            4 | 5 => {
+                let state = if self.rng.bool() { EntryState::Draining } else { EntryState::Gone };
+                let binds =
+                    self.settings.drain_binds == DrainBinds::DrainingAndGone || state == EntryState::Draining;
+                let now = self.now;
+                self.members.entry(id).and_modify(|member| {
+                    member.state = state;
+                    if binds {
+                        member.bound_at.get_or_insert(now);
+                    }
+                });
+                return self.feed(Event::Listed(ListKind::Changes, [self.entry(id)].into()));
+            }
+            6 => {
+                self.members.entry(id).and_modify(|member| {
+                    (member.state, member.bound_at, member.alive) = (EntryState::On, None, true);
+                });
+                return self.feed(Event::Listed(ListKind::Changes, [self.entry(id)].into()));
+            }
+            _ => {
+                self.calls_due += 1;
+                let loss = [Loss::Silent(3 * SECOND), Loss::Ended, Loss::Refused][self.rng.usize(0..3)];
+                return self.feed(Event::ListLost(loss));
+            }
+        };
+        Ok(())
+    }
+
+    /// Every request that is past its time has its answer.
+    fn overdue(&self) -> Broken {
+        let late = self.open.iter().find(|(_, open)| !open.answered && self.now > open.due + 5 * MS);
+        late.map_or(Ok(()), |(request, open)| {
+            Err(format!(
+                "{request} (class {}) has no answer {} us after its time",
+                open.class,
+                self.now - open.due
+            ))
+        })
+    }
+
+    fn play(&mut self) -> Broken {
+        let list: Vec<Entry> = self.members.keys().map(|id| self.entry(*id)).collect();
+        self.calls_due = u32::from(self.settings.discovery == Discovery::Ask);
+        self.feed(Event::Listed(ListKind::WarmCopy, list.into()))?;
+        self.later(1, Next::Arrive);
+        self.later(300 * MS, Next::Trouble);
+        let end = START + SPAN;
+        while let Some(Reverse((at, _, next))) = self.events.pop() {
+            if at > end + 15 * SECOND {
+                break;
+            }
+            self.now = at;
+            match next {
+                Next::Arrive if at < end => {
+                    let wait = self.rng.u64(1..12 * MS);
+                    self.later(wait, Next::Arrive);
+                    self.arrive()?;
+                }
+                Next::Trouble if at < end => {
+                    let wait = self.rng.u64(50..800) * MS;
+                    self.later(wait, Next::Trouble);
+                    self.trouble()?;
+                }
+                Next::Arrive | Next::Trouble => {}
+                Next::Wake => self.feed(Event::Wake)?,
+                Next::End(request, attempt) => self.end(request, attempt)?,
+                Next::Report(id) => {
+                    let outcome = if self.members[&id].alive { Outcome::Served } else { Outcome::TimedOut };
+                    let report = if outcome == Outcome::Served { self.note(id) } else { Note::default() };
+                    self.feed(Event::Probed(MemberId(id), outcome, report))?;
+                }
+                Next::Watched => self.feed(Event::Listed(ListKind::Changes, [].into()))?,
+            }
+            self.overdue()?;
+            self.open.retain(|_, open| !open.answered || open.attempts.iter().any(|attempt| attempt.2));
+        }
+        if self.open.values().any(|open| !open.answered) {
+            return Err("requests were left without an answer".into());
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn the_rules_hold_whatever_the_settings() {
+    let cases = std::env::var("SETTINGS_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(40);
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let rng = proptest::test_runner::TestRng::deterministic_rng(config.rng_algorithm);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let served = std::cell::Cell::new(0);
+    let played = runner.run(&(settings(), any::<u64>()), |(settings, seed)| {
+        let mut world = World::new(settings, seed);
+        let kept = world.play();
+        served.set(served.get() + world.served);
+        kept.map_err(|broken| TestCaseError::fail(format!("{broken}; after {:#?}", world.trace)))
+    });
+    played.unwrap_or_else(|broken| panic!("{broken}"));
+    assert!(served.get() > 100 * cases, "{} requests served in {cases} draws", served.get());
+}
