Pace clients that come back by a fleet's budget, each told at once when to come again

Need: when a gateway dies its clients arrive at the others together, each costing a handshake and connections that all share. Refusals are 53300 with field D, at once. Processes: one of three gateways dead, 200 clients at once at another: at most 55 a second of a part of 45 with a burst of 5, all in, each refusal with its time. Off without readmission(...).

--- a/rig/src/cluster/mod.rs
+++ b/rig/src/cluster/mod.rs
@@ -13,8 +13,8 @@
 use history::Line;
 use nix::sys::signal::Signal;
 use proxy::Way;
-use std::io;
-use std::net::SocketAddr;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread::sleep;
@@ -43,6 +43,35 @@
     pub lines: usize,
 }
 
+/// What a crowd of clients met.
+#[derive(Clone, Debug, Default)]
+pub struct Storm {
+    /// When each was admitted, Unix microseconds.
+    pub admitted: Vec<u64>,
+    /// How often clients were refused.
+    pub refused: usize,
+    /// Whether each refusal said when to come again.
+    pub told: bool,
+}
+
+/// Opens a session and closes it: nothing where it was admitted, else the milliseconds after which to come again.
+fn knock(address: SocketAddr) -> io::Result<Option<Option<u64>>> {
+    let mut client = TcpStream::connect(address)?;
+    client.set_read_timeout(Some(Duration::from_secs(2)))?;
+    let words = b"user\0web\0database\0orders\0\0";
+    let opening = [&(words.len() as u32 + 8).to_be_bytes()[..], &[0, 3, 0, 0], words].concat();
+    client.write_all(&opening)?;
+    let mut tag = [0];
+    client.read_exact(&mut tag)?;
+    let body = crate::database::read_body(&mut client)?;
+    if tag[0] != b'E' {
+        return Ok(None);
+    }
+    let detail = body.split(|byte| *byte == 0).find(|field| field.first() == Some(&b'D'));
+    let text = detail.and_then(|field| std::str::from_utf8(&field[1..]).ok());
+    Ok(Some(text.and_then(|text| text.parse().ok())))
+}
+
 /// A fleet of gateways.
 pub struct Cluster {
     gateways: Vec<Option<Gateway>>,
@@ -52,6 +81,7 @@
     /// The addresses at which gateway `i` reaches gateway `j`.
     seen: Vec<Vec<SocketAddr>>,
     voters: usize,
+    extra: String,
     edition: u64,
     folder: tempfile::TempDir,
     past: Vec<Line>,
@@ -61,6 +91,11 @@
 impl Cluster {
     /// Starts so many gateways, the first `voters` of which vote.
     pub fn start(program: PathBuf, gateways: usize, voters: usize) -> io::Result<Cluster> {
+        Cluster::start_with(program, gateways, voters, "")
+    }
+
+    /// The same, with more in each operator's file.
+    pub fn start_with(program: PathBuf, gateways: usize, voters: usize, extra: &str) -> io::Result<Cluster> {
         let shape = Shape { groups: 1, members: 2, gateways, ..Shape::default() };
         let databases = Fleet::start(shape)?;
         let places = free(gateways)?;
@@ -84,6 +119,7 @@
             ways,
             seen,
             voters,
+            extra: extra.to_owned(),
             edition: 0,
             folder: tempfile::tempdir()?,
             past: Vec::new(),
@@ -111,13 +147,14 @@
         format!(
             "lease(me = {}, peers = [{}], listen = '{}', store = '{}', duties = ['discovery', 'probes'],\n  \
              lease_ms = {LEASE_MS}, renew_ms = {RENEW_MS}, margin_ms = {MARGIN_MS},\n  \
-             allow = ['127.0.0.0/8', '10.{}.{}.0/24'])\n",
+             allow = ['127.0.0.0/8', '10.{}.{}.0/24'])\n{}",
             gateway + 1,
             peers.join(", "),
             self.places[gateway],
             self.store(gateway).display(),
             edition / 256,
             edition % 256,
+            self.extra,
         )
     }
 
@@ -212,6 +249,37 @@
         self.gateways[gateway].as_ref().map_or(Ok(()), |running| running.rewrite(bad))
     }
 
+    /// Has so many clients come to a gateway at once, and again when they are told, until all are in or time is up.
+    pub fn storm(&self, gateway: usize, clients: usize, within: Duration) -> Storm {
+        let address = self.plans[gateway].client;
+        let until = Instant::now() + within;
+        let come = move || {
+            let mut found = Storm { told: true, ..Storm::default() };
+            while Instant::now() < until {
+                match knock(address) {
+                    Ok(None) => {
+                        found.admitted.push(crate::now());
+                        break;
+                    }
+                    Ok(Some(wait)) => {
+                        found.refused += 1;
+                        found.told &= wait.is_some();
+                        sleep(Duration::from_millis(wait.unwrap_or(100)));
+                    }
+                    Err(_) => sleep(Duration::from_millis(20)),
+                }
+            }
+            found
+        };
+        let all: Vec<_> = (0..clients).map(|_| std::thread::spawn(come)).collect();
+        let all = all.into_iter().filter_map(|client| client.join().ok());
+        all.fold(Storm { told: true, ..Storm::default() }, |mut sum, one| {
+            sum.admitted.extend(one.admitted);
+            (sum.refused, sum.told) = (sum.refused + one.refused, sum.told && one.told);
+            sum
+        })
+    }
+
     /// What a running gateway logged last.
     fn last_words(&self, gateway: usize) -> String {
         let log = self.gateways[gateway].as_ref().map(Gateway::log).unwrap_or_default();
@@ -253,6 +321,11 @@
 
     /// Offers editions until one is in force everywhere, and says how long that took.
     pub fn agree(&mut self, within: Duration) -> io::Result<Option<Duration>> {
+        self.agree_without(within, usize::MAX)
+    }
+
+    /// The same, everywhere but at one that is gone.
+    pub fn agree_without(&mut self, within: Duration, gone: usize) -> io::Result<Option<Duration>> {
         let began = Instant::now();
         let all = self.places.len();
         let newest = self.in_force().into_iter().max().unwrap_or(0);
@@ -263,7 +336,10 @@
             // Who offers may have no seat yet: each in turn.
             self.offer(round % all, None)?;
             let everywhere = |cluster: &Cluster| {
-                let numbers = cluster.in_force();
+                let mut numbers = cluster.in_force();
+                if gone < all {
+                    numbers.remove(gone);
+                }
                 numbers[0] > newest && numbers.iter().all(|number| *number == numbers[0])
             };
             if self.wait(Duration::from_millis(1_500), everywhere).is_some() {
--- a/src/bin/asterreel-operator/main.rs
+++ b/src/bin/asterreel-operator/main.rs
@@ -13,6 +13,7 @@
 use asterreel::operator::{
     Agent, BadFile, CellBounds, Cells, Evaluated, Health, Lease, Listener, Peer, Place, Reply,
 };
+use asterreel::readmission;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value as Json};
 use starlark::codemap::FileSpan;
@@ -72,6 +73,7 @@
     health: Option<(Health, Place)>,
     cells: Option<(Cells, Place)>,
     lease: Option<(Lease, Place)>,
+    readmission: Option<(readmission::Knobs, Place)>,
     /// The first fault that one of our functions found: an error of the evaluation would lose the key.
     fault: Option<BadFile>,
 }
@@ -111,6 +113,10 @@
         evaluated.operator.lease = Some(lease);
         evaluated.lease_at = Some(place);
     }
+    if let Some((knobs, place)) = collected.readmission {
+        knobs.check().map_err(|(key, fault)| place.bad(&format!("readmission.{key}"), &fault))?;
+        evaluated.operator.readmission = Some(knobs);
+    }
     Ok(evaluated)
 }
 
@@ -420,6 +426,16 @@
         Ok(Value::new_none())
     }
 
+    /// How many clients may come back at once; called once at most.
+    fn readmission<'v>(
+        #[starlark(kwargs)] arguments: DictRef<'v>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        let (knobs, _, place) = checked::<readmission::Knobs>("readmission", &arguments, eval)?;
+        once("readmission", knobs, place, |collected| &mut collected.readmission);
+        Ok(Value::new_none())
+    }
+
     /// Cells; called once at most.
     fn cells<'v>(
         #[starlark(kwargs)] arguments: DictRef<'v>,
--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -11,6 +11,7 @@
 use asterreel::cells::{Refusal, LOST};
 use asterreel::health::Room;
 use asterreel::interface::*;
+use asterreel::readmission::{Answer, Readmission};
 use asterreel::settings::Setup;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpListener;
@@ -56,6 +57,8 @@
     next_session: AtomicUsize,
     /// Wakes whoever accepts.
     room: Mutex<Option<WaitIoWaker>>,
+    /// How many clients may come back at once, where an operator says so.
+    readmission: Mutex<Option<Readmission>>,
 }
 
 impl Gateway {
@@ -84,6 +87,27 @@
             open: Mutex::default(),
             next_session: AtomicUsize::new(0),
             room: Mutex::default(),
+            readmission: Mutex::default(),
+        }
+    }
+
+    /// From now on clients that come are admitted as this says.
+    pub fn readmit(&self, readmission: Readmission) {
+        *self.readmission.lock().unwrap_or_else(PoisonError::into_inner) = Some(readmission);
+    }
+
+    /// So many gateways share what the fleet may admit.
+    pub fn share(&self, gateways: u32) {
+        let mut readmission = self.readmission.lock().unwrap_or_else(PoisonError::into_inner);
+        readmission.iter_mut().for_each(|readmission| readmission.share(gateways));
+    }
+
+    /// Whether a client that comes from there may come in now; everybody may where nobody says otherwise.
+    fn readmits(&self, from: Option<IpAddr>) -> Answer {
+        let mut readmission = self.readmission.lock().unwrap_or_else(PoisonError::into_inner);
+        match (&mut *readmission, from) {
+            (Some(readmission), Some(from)) => readmission.arrive(self.core.clock.now(), from),
+            _ => Answer::Admit,
         }
     }
 
@@ -357,7 +381,10 @@
                     match opening {
                         Opening::Encrypt => self.write(b"N")?,
                         Opening::Cancel => return Ok(()),
-                        Opening::Start => break,
+                        Opening::Start => match self.gateway.readmits(self.client.address) {
+                            Answer::Admit => break,
+                            Answer::ComeAgain(wait) => return self.come_again(wait),
+                        },
                     }
                 }
                 Ok(None) => {
@@ -479,6 +506,14 @@
         Err(Ending::Malformed)
     }
 
+    /// Too many come at once: it hears at once when to come again.
+    fn come_again(&mut self, wait: Micros) -> Result<(), Ending> {
+        let mut out = Vec::new();
+        let wait_ms = wait.div_ceil(1_000);
+        pg::error(&mut out, Severity::Fatal, "53300", "too many come at once, come again", Some(wait_ms));
+        self.write(&out)
+    }
+
     /// The life of one request, from its arrival to its final answer, which is appended to `out`.
     fn request(&mut self, statement: Statement, received: Micros, out: &mut Vec<u8>) -> Result<(), Ending> {
         let core = self.gateway.core.clone();
--- a/src/bin/asterreel/fleetwide.rs
+++ b/src/bin/asterreel/fleetwide.rs
@@ -17,6 +17,8 @@
     candidate: Option<(u64, Evaluated)>,
     /// Requests that were counted already.
     counted: u64,
+    /// How many there are by the operator's file.
+    gateways: u32,
 }
 
 /// What files of a fleet have in common: all but what names this gateway, where it listens and keeps its log.
@@ -38,8 +40,8 @@
 }
 
 impl Fleetwide {
-    pub fn new(peers: Handle, notices: Receiver<Notice>) -> Fleetwide {
-        Fleetwide { peers, notices, candidate: None, counted: 0 }
+    pub fn new(peers: Handle, notices: Receiver<Notice>, gateways: u32) -> Fleetwide {
+        Fleetwide { peers, notices, candidate: None, counted: 0, gateways }
     }
 
     /// Offers the operator's file as it is here.
@@ -75,6 +77,14 @@
         self.candidate.take_if(judged).map(|(_, evaluated)| evaluated)
     }
 
+    /// Divides what the fleet may admit among those who have a seat; among all that there are where this gateway can't
+    /// tell, so that one that is cut off takes its own part and no more.
+    pub fn share(&self, gateway: &Gateway) {
+        let view = self.peers.view();
+        let sure = view.right.is_some_and(|right| gateway.core.clock.now() < right.until);
+        gateway.share(if sure { view.seats } else { self.gateways });
+    }
+
     /// Tells the fleet how many requests were taken under the operator's file in force.
     pub fn count(&mut self, gateway: &Gateway) {
         let taken = gateway.requests();
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -34,6 +34,7 @@
 use asterreel::health::drain::{Timetable, LAST_ANSWERS};
 use asterreel::interface::{Discovery, ListKind};
 use asterreel::operator::Evaluated;
+use asterreel::readmission::Readmission;
 use clap::Parser;
 use may::net::TcpListener;
 use may::sync::mpsc;
@@ -149,7 +150,11 @@
     info!(name = config.name, listen = %config.listen, "serving");
 
     let cells = evaluated.operator.cells.clone();
-    let agreed = peers.map(|(peers, notices)| Fleetwide::new(peers, notices));
+    let gateways = evaluated.operator.lease.as_ref().map_or(config.settings.fleet, |l| l.peers.len() as u32);
+    if let Some(knobs) = evaluated.operator.readmission.clone() {
+        gateway.readmit(Readmission::new(knobs, gateways, config.seed));
+    }
+    let agreed = peers.map(|(peers, notices)| Fleetwide::new(peers, notices, gateways));
     let mut running = Running { config, files, source: &source, health, cells, table, agreed };
     if running.agreed.is_some() {
         while signals.pending().fold(true, |serve, signal| serve & running.serves_on(signal)) {
@@ -233,6 +238,7 @@
     fn heed(&mut self, gateway: &Gateway) {
         let Some(mut agreed) = self.agreed.take() else { return };
         agreed.count(gateway);
+        agreed.share(gateway);
         while let Ok(notice) = agreed.notices.try_recv() {
             match notice {
                 Notice::Judge(topic, number, content) => {
--- a/src/bin/asterreel/peer/mod.rs
+++ b/src/bin/asterreel/peer/mod.rs
@@ -54,6 +54,8 @@
 pub struct View {
     /// This gateway's right to act on what has versions.
     pub right: Option<versions::Right>,
+    /// How many gateways have a seat.
+    pub seats: u32,
     /// The versions in force.
     pub in_force: BTreeMap<Topic, u64>,
 }
@@ -372,7 +374,11 @@
         let versions = node.agreed().versions();
         let in_force = versions.table().topics().filter(|(_, standing)| standing.number() > 0);
         let in_force = in_force.map(|(topic, standing)| (topic, standing.number())).collect();
-        let view = Arc::new(View { right: versions.right(now), in_force });
+        let view = Arc::new(View {
+            right: versions.right(now),
+            seats: versions.table().seats().count() as u32,
+            in_force,
+        });
         *self.view.lock().unwrap_or_else(PoisonError::into_inner) = view;
         Ok(())
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod lease;
 pub mod operator;
 pub mod policy;
+pub mod readmission;
 pub mod settings;
 mod state;
 pub mod versions;
--- a/src/operator/settings.rs
+++ b/src/operator/settings.rs
@@ -24,6 +24,9 @@
     /// Duties with one holder in the fleet.
     #[serde(default)]
     pub lease: Option<Lease>,
+    /// How many clients may come back at once.
+    #[serde(default)]
+    pub readmission: Option<crate::readmission::Knobs>,
 }
 
 /// A gateway that takes part in the fleet's log.
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -80,6 +80,28 @@
     no_violation(&cluster);
 }
 
+/// Two hundred clients of a gateway that died come to the next one at once.
+#[test]
+fn clients_that_come_back_together_are_admitted_at_the_fleets_pace() {
+    let mut cluster = Cluster::start_with(program(), 3, 3, "readmission(sessions_per_s = 90, burst = 5)\n")
+        .expect("started");
+    assert!(cluster.agree(LONG).expect("played").is_some());
+    cluster.kill(0);
+    // Two are left once the dead one's seat is taken away: each admits 45 a second.
+    assert!(cluster.agree_without(LONG, 0).expect("played").is_some());
+    let storm = cluster.storm(1, 200, Duration::from_secs(20));
+    let mut admitted = storm.admitted.clone();
+    admitted.sort_unstable();
+    assert_eq!(admitted.len(), 200, "everybody comes in");
+    for (n, at) in admitted.iter().enumerate() {
+        let within = admitted[n..].iter().take_while(|other| **other < at + 1_000_000).count();
+        // The part, the burst, and a tenth for the client's own way.
+        assert!(within <= 55, "{within} in a second");
+    }
+    assert!(storm.refused >= 150 && storm.told, "each refusal says when to come again");
+    no_violation(&cluster);
+}
+
 #[test]
 fn one_that_stood_still_past_its_right_finds_that_it_has_none() {
     let mut cluster = agreed(3, 3);
