Decide which statements go where while a group's schema changes

Need: a schema change takes effect at a position of a group's log that members reach at different times, while gateways learn of it at different times. Change: src/statements/: shapes of statements (text without values, xxh3), the catalog as a version whose change takes one step at a time (proposed, both, new only, forgotten, and back), the candidates of a statement at each step by position, and a gateway's evidence from answers that did not fit. Decisions alone: not yet on the request path. Result: seven unit tests; no two adjacent steps let an old statement go where its schema may be gone, or a new one where it may not be there yet; one wrong member never sets a shape aside for its group.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod readmission;
 pub mod settings;
 mod state;
+pub mod statements;
 pub mod versions;
