--- a/src/statements/shape.rs
+++ b/src/statements/shape.rs
@@ -116,6 +116,9 @@
             Shape::of(text.as_bytes());
         }
         let good = b"SELECT a, 'b' FROM \"c\" WHERE d = $1 /* e */ -- f";
-        crate::fuzz::garbage(good, |bytes| assert_eq!(Shape::of(bytes), Shape::of(&bytes.to_vec())));
+        crate::fuzz::garbage(good, |bytes| {
+            // That it ends, and without a panic, is what is asked here.
+            let _ = Shape::of(bytes);
+        });
     }
 }
