--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run bench
 
 build:
 	cargo build --release --locked
@@ -13,3 +13,7 @@
 # The example's configuration; start the toy server first (see README).
 run: build
 	RELAY_CONFIG=examples/config.json target/release/asterreel
+
+# Both deployments on the operators' benches, against the scores recorded last: make bench WHY="what changed"
+bench:
+	deploy/regression "$(WHY)"
--- a/src/bin/asterreel/fleetwide.rs
+++ b/src/bin/asterreel/fleetwide.rs
@@ -19,6 +19,8 @@
     counted: u64,
     /// How many there are by the operator's file.
     gateways: u32,
+    /// Whether it had no seat when it was looked at last.
+    shut_out: Option<bool>,
 }
 
 /// What files of a fleet have in common: all but what names this gateway, where it listens and keeps its log.
@@ -41,7 +43,7 @@
 
 impl Fleetwide {
     pub fn new(peers: Handle, notices: Receiver<Notice>, gateways: u32) -> Fleetwide {
-        Fleetwide { peers, notices, candidate: None, counted: 0, gateways }
+        Fleetwide { peers, notices, candidate: None, counted: 0, gateways, shut_out: None }
     }
 
     /// Offers the operator's file as it is here.
@@ -78,11 +80,12 @@
     }
 
     /// Divides what the fleet may admit among those who have a seat; among all that there are where this gateway can't
-    /// tell, so that one that is cut off takes its own part and no more.
-    pub fn share(&self, gateway: &Gateway) {
+    /// tell, so that one that is cut off takes its own part and no more. Says whether it is shut out, where that is news.
+    pub fn share(&mut self, gateway: &Gateway) -> Option<bool> {
         let view = self.peers.view();
         let sure = view.right.is_some_and(|right| gateway.core.clock.now() < right.until);
         gateway.share(if sure { view.seats } else { self.gateways });
+        (self.shut_out.replace(!sure) != Some(!sure)).then_some(!sure)
     }
 
     /// Tells the fleet how many requests were taken under the operator's file in force.
--- a/src/bin/asterreel/health/mod.rs
+++ b/src/bin/asterreel/health/mod.rs
@@ -40,6 +40,7 @@
 enum Word {
     Terminate,
     Stopping,
+    ShutOut(bool),
     Again(Box<Health>),
 }
 
@@ -61,6 +62,11 @@
         let _ = self.words.send(Word::Stopping);
     }
 
+    /// Whether the gateway has no seat in the fleet's log.
+    pub fn shut_out(&self, shut_out: bool) {
+        let _ = self.words.send(Word::ShutOut(shut_out));
+    }
+
     /// Puts what was read again into force; the keys that have to wait for the next start.
     pub fn again(&mut self, settings: Health) -> Vec<&'static str> {
         let before = &self.settings;
@@ -234,6 +240,7 @@
                     shared.event(Event::Terminate);
                 }
                 Some(Word::Stopping) => shared.event(Event::Stopping),
+                Some(Word::ShutOut(shut_out)) => shared.event(Event::ShutOut(shut_out)),
                 Some(Word::Again(settings)) => {
                     shared.crowd.borrow_mut().allow(settings.allow.clone());
                     shared.event(Event::Configured(settings.knobs.clone()));
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -238,7 +238,9 @@
     fn heed(&mut self, gateway: &Gateway) {
         let Some(mut agreed) = self.agreed.take() else { return };
         agreed.count(gateway);
-        agreed.share(gateway);
+        if let (Some(shut_out), Some(health)) = (agreed.share(gateway), &self.health) {
+            health.shut_out(shut_out);
+        }
         while let Ok(notice) = agreed.notices.try_recv() {
             match notice {
                 Notice::Judge(topic, number, content) => {
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -64,6 +64,8 @@
     NoMember,
     /// Fresh connections are not accepted; those that are open are served.
     Accept,
+    /// The fleet's log can't be reached, or the others took the gateway's seat away: it may not act on what they agree.
+    ShutOut,
     /// The operator's file says so.
     Maintenance,
     /// The program was told to end.
@@ -83,6 +85,7 @@
             Reason::Overload => "overload",
             Reason::NoMember => "no-member",
             Reason::Accept => "accept",
+            Reason::ShutOut => "shut-out",
             Reason::Maintenance => "maintenance",
             Reason::Drain => "drain",
             Reason::Hung => "hung",
@@ -160,6 +163,8 @@
     Terminate,
     /// Connections are being closed.
     Stopping,
+    /// Whether the gateway has no seat in the fleet's log, where there is one.
+    ShutOut(bool),
     /// The operator's file was read again.
     Configured(Knobs),
     /// Time passed.
@@ -204,6 +209,7 @@
     ladder: Ladder,
     mover: Mover,
     told: bool,
+    shut_out: bool,
     announced: BTreeMap<Scope, Status>,
 }
 
@@ -220,6 +226,7 @@
             ladder: Ladder::default(),
             mover: Mover::new(0, now),
             told: false,
+            shut_out: false,
             announced: BTreeMap::new(),
         }
     }
@@ -237,6 +244,7 @@
             Event::Terminate if self.phase < Phase::Draining => self.phase = Phase::Draining,
             Event::Stopping => self.phase = Phase::Stopping,
             Event::Configured(knobs) => self.knobs = knobs,
+            Event::ShutOut(shut_out) => self.shut_out = shut_out,
             Event::Terminate | Event::Tick => {}
         }
         self.pulse.judge(self.now, &self.knobs);
@@ -338,9 +346,11 @@
         let weight = sum / worth * f64::from(level) / f64::from(FULL);
         let weight = (weight.round() as u8).clamp(self.knobs.floor, FULL);
         let accepts = self.pulse.accepts();
-        let weight = if accepts { weight } else { self.knobs.floor };
+        // Never 0 for one that is shut out: it serves clients on, and if all are, there is no one better.
+        let weight = if accepts && !self.shut_out { weight } else { self.knobs.floor };
         let reason = match reason {
             _ if !accepts => Reason::Accept,
+            _ if self.shut_out => Reason::ShutOut,
             Reason::Fine if level < FULL => Reason::Overload,
             reason => reason,
         };
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -453,31 +453,42 @@
     assert!(gateway.process.wait().expect("it ends").success());
 }
 
-/// Where an agent on the gateway's machine pushes the list, the module never asks for a watch: the gateway must
-/// watch the agent from its start, or no drain and no new member is ever heard.
-#[test]
-fn a_pushing_agent_is_watched_from_the_start() {
-    let agent = listen();
+/// A gateway of a fleet of so many whose list is pushed by this agent.
+fn pushed(agent: &TcpListener, fleet: u32) -> Gateway {
     let config = EXAMPLE
         .replace("\"Discovery\": \"subscribe\"", "\"Discovery\": \"automatic\"")
+        .replace("\"FleetSize\": 1", &format!("\"FleetSize\": {fleet}"))
         .replace("127.0.0.1:8500", &agent.local_addr().expect("bound").to_string())
         .replace("127.0.0.1:6433", "127.0.0.1:0");
+    assert!(config.contains(&format!("\"FleetSize\": {fleet}")));
     let address = "127.0.0.1:0".parse().expect("an address");
-    let _gateway = spawn(config, address, sync_channel(1).1, Stdio::null());
-    // Not a race: the gateway either calls or does not, and 20 s is far beyond a start on a slow machine.
+    spawn(config, address, sync_channel(1).1, Stdio::null())
+}
+
+/// The next call that comes to an agent; 20 s is far beyond a start on a slow machine.
+fn called(agent: &TcpListener) -> Option<TcpStream> {
     agent.set_nonblocking(true).expect("a listener");
     let until = Instant::now() + Duration::from_secs(20);
     let call = loop {
         match agent.accept() {
-            Ok((call, _)) => break Some(call),
+            Ok((call, _)) => break call,
             Err(error) if error.kind() == ErrorKind::WouldBlock && Instant::now() < until => {
-                thread::sleep(Duration::from_millis(20))
+                thread::sleep(Duration::from_millis(5))
             }
-            Err(_) => break None,
+            Err(_) => return None,
         }
     };
-    let mut call = call.expect("the gateway watches the agent unasked");
     call.set_nonblocking(false).expect("blocking");
+    Some(call)
+}
+
+/// Where an agent on the gateway's machine pushes the list, the module never asks for a watch: the gateway must
+/// watch the agent from its start, or no drain and no new member is ever heard.
+#[test]
+fn a_pushing_agent_is_watched_from_the_start() {
+    let agent = listen();
+    let _gateway = pushed(&agent, 1);
+    let mut call = called(&agent).expect("the gateway watches the agent unasked");
     let mut head = [0; 32];
     call.read_exact(&mut head).expect("a call");
     assert!(
@@ -486,3 +497,24 @@
         String::from_utf8_lossy(&head)
     );
 }
+
+/// join+mass: watches stayed open and said nothing; what they missed counted as told 6 s later, and the gateways of a large
+/// fleet called again only up to 19 s after they fell silent. The list before that is indented, as lists may be.
+#[test]
+fn a_watch_that_falls_silent_is_opened_again_in_time_by_a_gateway_of_300() {
+    let agent = listen();
+    let _gateway = pushed(&agent, 300);
+    let mut watch = toy::Watch::begin(called(&agent).expect("a watch")).expect("begun");
+    let list = "{\n  \"revision\": 777,\n  \"complete\": true,\n\n  \"members\": [\n  ]\n}\n";
+    watch.tell(&list[..9]).expect("told");
+    watch.tell(&list[9..]).expect("told");
+    let silent = Instant::now();
+    let mut call = called(&agent).expect("it calls again");
+    let took = silent.elapsed();
+    let mut head = [0; 36];
+    call.read_exact(&mut head).expect("a call");
+    assert_eq!(&head[..], b"GET /v1/servers?watch=1&after=777 HT", "it has read the list");
+    // Beats come every 2 s, and a call may wait 2 s in discovery's queue before the 6 s are over; one more for the machine.
+    let (least, most) = (Duration::from_millis(2_500), Duration::from_millis(5_000));
+    assert!((least..most).contains(&took), "called again after {took:?}");
+}
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -308,6 +308,19 @@
     assert_eq!(subject.told().0, State::Hung);
 }
 
+/// One without its seat serves clients on, but others are better; when all are, they are alike.
+#[test]
+fn one_that_is_shut_out_of_the_fleet_is_worth_the_floor_until_it_is_back() {
+    let mut subject = Subject::up();
+    subject.event(Event::ShutOut(true));
+    subject.pass(2 * S);
+    assert_eq!(subject.told(), (State::Degraded, 10, Reason::ShutOut));
+    assert!(subject.machine.status(Scope::Gateway).is_some_and(|status| status.ready()), "never 0");
+    subject.event(Event::ShutOut(false));
+    subject.pass(10 * S);
+    assert_eq!(subject.told(), (State::Up, FULL, Reason::Fine));
+}
+
 #[test]
 fn a_drain_is_told_at_once_also_without_a_primary_and_nothing_leads_back() {
     let mut subject = Subject::up();
