--- a/tests/versions_model.rs
+++ b/tests/versions_model.rs
@@ -244,26 +244,25 @@
 
 const QUICK: Explored = Explored { ticks: 1, log: 4, offers: 1, crashes: 0, fair: false };
 
-#[test]
-fn in_no_interleaving_is_a_third_version_acted_on() {
-    let (states, found) = explore(QUICK);
+fn is_safe(explored: Explored) -> usize {
+    let (states, found) = explore(explored);
     assert!(!found.contains(&"no third version is acted on"), "{found:?}");
     assert!(found.contains(&"two versions are acted on at once"), "{found:?}");
-    assert!(states > 10_000, "{states} states are too few to mean anything");
+    states
 }
 
-/// With time for rights to run out and a second offer: `cargo test --release --test versions_model -- --ignored
-/// --nocapture`.
+#[test]
+fn in_no_interleaving_is_a_third_version_acted_on() {
+    // The second offer can come in force while some act on the first version still: a third would show.
+    let states = is_safe(Explored { ticks: 0, log: 8, offers: 2, ..QUICK }) + is_safe(QUICK);
+    assert!(states > 50_000, "{states} states are too few to mean anything");
+}
+
+/// With time for rights to run out: `cargo test --release --test versions_model -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement"]
-fn the_same_with_expulsions_and_a_second_offer() {
-    for explored in [
-        Explored { ticks: 3, log: 3, ..QUICK },
-        Explored { ticks: 1, log: 4, offers: 2, ..QUICK },
-    ] {
-        let (_, found) = explore(explored);
-        assert!(!found.contains(&"no third version is acted on"), "{found:?}");
-    }
+fn the_same_with_time_for_rights_to_run_out() {
+    is_safe(Explored { ticks: 2, ..QUICK });
 }
 
 #[test]
