Say once what a right, a fleet's digest and a node's start are, and compute the digest once

Cause: the read-through found the digest hashed anew on every turn of the peers' loop, the voters gathered before it was known whether anybody waits for them, and a right's end and a node's start each told in two or three places. Change: digest() and node() beside the loop, Right::runs and View::right; the stage is looked at first. Behaviour is the same.

--- a/src/bin/asterreel/fleetwide.rs
+++ b/src/bin/asterreel/fleetwide.rs
@@ -83,7 +83,7 @@
     /// tell, so that one that is cut off takes its own part and no more. Says whether it is shut out, where that is news.
     pub fn share(&mut self, gateway: &Gateway) -> Option<bool> {
         let view = self.peers.view();
-        let sure = view.right.is_some_and(|right| gateway.core.clock.now() < right.until);
+        let sure = view.right(gateway.core.clock.now()).is_some();
         gateway.share(if sure { view.seats } else { self.gateways });
         (self.shut_out.replace(!sure) != Some(!sure)).then_some(!sure)
     }
--- a/src/bin/asterreel/peer/mod.rs
+++ b/src/bin/asterreel/peer/mod.rs
@@ -53,18 +53,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// This gateway's right to act on what has versions.
-    pub right: Option<versions::Right>,
+    right: Option<versions::Right>,
     /// How many gateways have a seat.
     pub seats: u32,
     /// The versions in force.
-    pub in_force: BTreeMap<Topic, u64>,
+    in_force: BTreeMap<Topic, u64>,
 }
 
 impl View {
     /// The version of a topic to act on at a time, with the token that goes with the action.
     pub fn acting(&self, topic: Topic, now: Micros) -> Option<(u64, lease::Token)> {
-        let right = self.right.filter(|right| now < right.until)?;
-        Some((*self.in_force.get(&topic)?, right.token))
+        Some((*self.in_force.get(&topic)?, self.right(now)?.token))
+    }
+
+    /// This gateway's right, where it still runs.
+    pub fn right(&self, now: Micros) -> Option<versions::Right> {
+        self.right.filter(|right| right.runs(now))
     }
 }
 
@@ -112,11 +116,8 @@
     let store = Store::open(&asked.store, me)?;
     // A number of its own for this life: what an earlier one asked for is not this one's.
     let life = Holder { gateway: asked.me, life: fastrand::u32(1..) };
-    let node = match store.id() {
-        Some(id) => {
-            let agreed = Agreed::new(life, asked.timing(), FORMATS);
-            Stage::Runs(Box::new(Node::new(id, store, agreed, ELECTION_TICKS, clock.now())?))
-        }
+    let stage = match store.id() {
+        Some(id) => Stage::Runs(node(id, store, life, asked, clock.now())?),
         None => Stage::Waits(store),
     };
     let listener = std::net::TcpListener::bind(asked.listen)
@@ -131,7 +132,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let ended = runtime.map_err(PeerError::Thread).and_then(|runtime| {
             let local = tokio::task::LocalSet::new();
-            let mut fleet = Fleet::new(asked, clock, life, node, notices, published.clone());
+            let mut fleet = Fleet::new(asked, clock, life, stage, notices, published.clone());
             local.block_on(&runtime, fleet.run(listener, asking))
         });
         // Clients are served on without the log; what depends on it stops with the right, which ends by itself.
@@ -144,6 +145,20 @@
     Ok((handle, noticed))
 }
 
+/// The same at every gateway of a fleet: who takes part, who votes, and how long rights last. One that waits for a shorter
+/// time than another acts would take its seat too early.
+fn digest(asked: &Lease) -> u64 {
+    let mut all: Vec<(u32, bool)> = asked.peers.iter().map(|peer| (peer.id, peer.voter)).collect();
+    all.sort_unstable();
+    xxh3_64(format!("{all:?} {:?}", asked.timing()).as_bytes())
+}
+
+/// This gateway's part in the consensus, in its life `me`, on a store that has a number.
+fn node(id: u64, store: Store, me: Holder, asked: &Lease, now: Micros) -> Result<Box<Node>, NodeError> {
+    let agreed = Agreed::new(me, asked.timing(), FORMATS);
+    Ok(Box::new(Node::new(id, store, agreed, ELECTION_TICKS, now)?))
+}
+
 /// Whether this gateway has a log.
 enum Stage {
     /// None; it waits for word that no voter has one, or that there is one to learn.
@@ -164,6 +179,8 @@
     links: BTreeMap<u64, link::Link>,
     /// What each other gateway said last.
     met: BTreeMap<u64, Hello>,
+    /// See [`digest`].
+    digest: u64,
     greeting: link::Greeting,
     told: Place,
 }
@@ -179,6 +196,7 @@
     ) -> Fleet {
         let (links, met, told) = (BTreeMap::new(), BTreeMap::new(), Place::default());
         Fleet {
+            digest: digest(&asked),
             asked,
             clock,
             me,
@@ -196,21 +214,13 @@
         self.asked.peers.iter().filter(|peer| peer.voter).map(|peer| peer.id.into()).collect()
     }
 
-    /// The same at every gateway of a fleet: who takes part, who votes, and how long rights last. One that waits for a
-    /// shorter time than another acts would take its seat too early.
-    fn digest(&self) -> u64 {
-        let mut all: Vec<(u32, bool)> = self.asked.peers.iter().map(|peer| (peer.id, peer.voter)).collect();
-        all.sort_unstable();
-        xxh3_64(format!("{all:?} {:?}", self.asked.timing()).as_bytes())
-    }
-
     fn hello(&self) -> Hello {
         let (id, fresh) = match &self.stage {
             Stage::Runs(node) => (node.id(), node.place().applied == 0),
             Stage::Waits(_) | Stage::Starts => (0, true),
         };
         let (oldest, newest) = (frame::OLDEST, frame::NEWEST);
-        Hello { oldest, newest, fleet: self.digest(), gateway: self.me.gateway.into(), id, fresh }
+        Hello { oldest, newest, fleet: self.digest, gateway: self.me.gateway.into(), id, fresh }
     }
 
     /// Says hello again where what it says has changed.
@@ -227,11 +237,14 @@
     /// what is no longer there, so it takes part under a new number; and a log is begun only where every voter is there
     /// and says that it has none, so that two that lost theirs never begin another beside the third's.
     fn found(&mut self, out: &mut Vec<Action>) -> Result<(), PeerError> {
+        if !matches!(self.stage, Stage::Waits(_)) {
+            return Ok(());
+        }
         let voters = self.voters();
         let me = u64::from(self.me.gateway);
         let fresh = |id: &u64| *id == me || self.met.get(id).is_some_and(|hello| hello.fresh);
         let (learn, begin) = (self.met.values().any(|hello| !hello.fresh), voters.iter().all(fresh));
-        if !matches!(self.stage, Stage::Waits(_)) || !(learn || begin) {
+        if !(learn || begin) {
             return Ok(());
         }
         let Stage::Waits(mut store) = std::mem::replace(&mut self.stage, Stage::Starts) else {
@@ -247,8 +260,7 @@
         store.begin(id, &members)?;
         let now = self.clock.now();
         info!(at = now, gateway = me, id, learn, "log: begun");
-        let agreed = Agreed::new(self.me, self.asked.timing(), FORMATS);
-        self.stage = Stage::Runs(Box::new(Node::new(id, store, agreed, ELECTION_TICKS, now)?));
+        self.stage = Stage::Runs(node(id, store, self.me, &self.asked, now)?);
         self.serve(out)
     }
 
--- a/src/versions/member.rs
+++ b/src/versions/member.rs
@@ -68,6 +68,13 @@
     pub until: Micros,
 }
 
+impl Right {
+    /// Whether something may be begun under it at a time.
+    pub fn runs(&self, now: Micros) -> bool {
+        now < self.until
+    }
+}
+
 /// Why a gateway may not act any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
 pub enum Why {
@@ -198,7 +205,7 @@
 
     /// This gateway's right to act now, if it has one.
     pub fn right(&self, now: Micros) -> Option<Right> {
-        self.right.filter(|right| now < right.until)
+        self.right.filter(|right| right.runs(now))
     }
 
     /// The version of a topic that this gateway may act on now, and the token that goes with it.
@@ -378,7 +385,7 @@
     /// Whatever is due.
     fn step(&mut self, now: Micros, out: &mut Vec<Action>) {
         let renew = self.timing.renew_us;
-        if self.right.is_some_and(|right| now >= right.until) {
+        if self.right.is_some_and(|right| !right.runs(now)) {
             // It may still have its seat in the log: keeping that is all it takes to act again.
             self.stop(Why::Lapsed, out);
         }
