--- a/rig/src/gateway.rs
+++ b/rig/src/gateway.rs
@@ -7,9 +7,10 @@
 use nix::unistd::Pid;
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -64,10 +65,14 @@
     }
 }
 
-/// Addresses that were free a moment ago, on loopback.
+/// Addresses that are free, on a loopback host of this call's own: on the common one, a port that was free a moment ago
+/// may be some client's by the time that it is listened on.
 pub fn free(count: usize) -> io::Result<Vec<SocketAddr>> {
+    static CALLS: AtomicU8 = AtomicU8::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, 128 + CALLS.fetch_add(1, Ordering::Relaxed) % 100, high, low);
     let held: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+        (0..count).map(|_| TcpListener::bind((host, 0))).collect::<Result<_, _>>()?;
     held.iter().map(TcpListener::local_addr).collect()
 }
 
