Call discovery within what 6 s leave after any loss, and an agent at once

Cause: what a lost watch or call hides counts as told 6 s after discovery had it and could be reached, whatever came before. Read in Calls::longest (src/fleet.rs): after Loss::Refused the wait could grow to four times the ask interval less 2 s, after Loss::Ended to the interval less 2 s, in a fleet of 300 from the first loss on (2 x pace(0.2 s) = 15 s). Ruled out: the silent watch, bounded since. A pushing agent's loss was treated the same, though it serves one gateway alone, at once and at no cost, and what it has counts as told at once: a watch that ended stayed closed for up to 8 s in a fleet of 300.

Change: a loss says for how long nothing was heard (Event::ListLost), and every wait fits into 6 s less that less 2 s in discovery's queue, first and repeated failures alike, with the herd's spread inside; an agent is asked again after 50 ms. A call's silence counts from its beginning until its head is whole; a chunked answer that has come to its end has ended, though its connection stays; after SIGHUP 4 s count instead of 6. The watcher looked whether discovery had moved before it dropped requests for a watch that were already done, so that a move in between lost its own: it looks after.

--- a/src/bin/asterreel-adapter/wire.rs
+++ b/src/bin/asterreel-adapter/wire.rs
@@ -175,8 +175,8 @@
     next_id: u64,
     members: HashMap<String, MemberId>,
     stores: Vec<String>,
-    /// The last call for the list was answered.
-    watching: bool,
+    /// When the list was called for, for as long as nothing has come of it.
+    called_at: Option<Micros>,
 }
 
 /// All instances of this process.
@@ -273,12 +273,19 @@
             next_id: 0,
             members: HashMap::new(),
             stores: Vec::new(),
-            watching: false,
+            called_at: None,
         })
     }
 
     fn handle(&mut self, now: Micros, event: Event, written: &mut String) -> Result<(), String> {
         let mut actions = Vec::new();
+        let event = match event {
+            // The wire tells of a watch that ended as of a call that failed; only the latter had said nothing yet.
+            Event::ListLost(_) => {
+                Event::ListLost(self.called_at.take().map_or(0, |at| now.saturating_sub(at)))
+            }
+            event => event,
+        };
         let router = &mut self.router;
         let run = catch_unwind(AssertUnwindSafe(|| {
             router.handle(now, event, &mut actions);
@@ -288,6 +295,9 @@
             return append(written, &Output::Broken { text });
         }
         for action in actions {
+            if action == Action::Watch {
+                self.called_at = Some(now);
+            }
             self.write(action, written)?;
         }
         Ok(())
@@ -450,24 +460,18 @@
             "incr" => ListKind::Changes,
             "total" => ListKind::Full,
             "warm_copy" => ListKind::WarmCopy,
-            "lost" => return Ok(Event::ListLost(self.lost())),
+            "lost" => return Ok(Event::ListLost(0)),
             other => return Err(format!("VIEW: unknown kind {other}")),
         };
-        self.watching = kind != ListKind::WarmCopy;
+        if kind != ListKind::WarmCopy {
+            self.called_at = None;
+        }
         let number = view.table.unwrap_or(0);
         let items = tables.get(&number).ok_or(format!("VIEW: unknown table {number}"))?;
         let entries: Result<Vec<Entry>, String> = items.iter().map(|item| self.entry(item)).collect();
         Ok(Event::Listed(kind, entries?.into()))
     }
 
-    /// The wire does not tell a watch that ended from a call that failed: there was none to end after the latter.
-    fn lost(&mut self) -> Loss {
-        match std::mem::take(&mut self.watching) {
-            true => Loss::Ended,
-            false => Loss::Refused,
-        }
-    }
-
     fn entry(&mut self, item: &Item) -> Result<Entry, String> {
         let member = self.member(&item.store);
         item.entry(member, &self.zones).map_err(|fault| format!("DEFINE_LIST: {fault}"))
--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -174,8 +174,8 @@
         self.feed(Event::Probed(member, outcome, report));
     }
 
-    pub fn list_lost(&self, loss: Loss) {
-        self.feed(Event::ListLost(loss));
+    pub fn list_lost(&self, unheard: Micros) {
+        self.feed(Event::ListLost(unheard));
     }
 
     pub fn wake(&self) {
--- a/src/bin/asterreel/discovery.rs
+++ b/src/bin/asterreel/discovery.rs
@@ -1,13 +1,13 @@
 //! The watch on discovery's list of members.
 
+use crate::clock::Clock;
 use crate::core::Core;
 use crate::net::Stream;
 use asterreel::config::Listing;
 use asterreel::fleet::SILENCE;
-use asterreel::interface::{ListKind, Loss, Micros};
+use asterreel::interface::{ListKind, Micros};
 use may::io::WaitIoWaker;
 use may::sync::mpsc::{Receiver, Sender};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use tracing::{info, warn};
@@ -39,17 +39,6 @@
     Moved,
 }
 
-impl Fault {
-    fn loss(&self) -> Loss {
-        match self {
-            Fault::Silent(span) => Loss::Silent(*span),
-            Fault::Connect(error) if error.kind() == ErrorKind::TimedOut => Loss::Silent(CONNECT),
-            Fault::Ended(_) | Fault::List(_) | Fault::Moved => Loss::Ended,
-            Fault::Connect(_) | Fault::Call(_) | Fault::Answer(_) => Loss::Refused,
-        }
-    }
-}
-
 /// What is wrong with an answer.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Unread {
@@ -65,64 +54,94 @@
 
 /// Where discovery is, which may change while it is watched.
 pub struct Source {
-    place: Mutex<(SocketAddr, Option<WaitIoWaker>)>,
+    clock: Clock,
+    place: Mutex<Place>,
     asks: Sender<()>,
 }
 
+struct Place {
+    address: SocketAddr,
+    /// Wakes the watch.
+    watch: Option<WaitIoWaker>,
+    /// When it moved here, for as long as nothing has been heard from here.
+    moved_at: Option<Micros>,
+}
+
+/// How much sooner than otherwise what a new place has to tell counts as told, counted from the move: after 4 s.
+const MOVED_SOONER: Micros = 2_000_000;
+
 impl Source {
-    pub fn new(address: SocketAddr, asks: Sender<()>) -> Source {
-        Source { place: Mutex::new((address, None)), asks }
+    pub fn new(address: SocketAddr, clock: Clock, asks: Sender<()>) -> Source {
+        Source { clock, place: Mutex::new(Place { address, watch: None, moved_at: None }), asks }
     }
 
-    fn place<T>(&self, work: impl FnOnce(&mut (SocketAddr, Option<WaitIoWaker>)) -> T) -> T {
+    fn place<T>(&self, work: impl FnOnce(&mut Place) -> T) -> T {
         work(&mut self.place.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     fn address(&self) -> SocketAddr {
-        self.place(|place| place.0)
+        self.place(|place| place.address)
     }
 
     /// From now on discovery is watched here; a watch elsewhere ends at once.
     pub fn move_to(&self, address: SocketAddr) {
         self.place(|place| {
-            place.0 = address;
-            place.1.iter().for_each(WaitIoWaker::wakeup);
+            (place.address, place.moved_at) = (address, Some(self.clock.now()));
+            place.watch.iter().for_each(WaitIoWaker::wakeup);
         });
         // It may be between two watches, and what the new place tells counts as told soon: don't sit that out.
         let _ = self.asks.send(());
     }
+
+    /// Something was heard from the place.
+    fn heard(&self, from: SocketAddr) {
+        self.place(|place| place.moved_at = place.moved_at.filter(|_| place.address != from));
+    }
+
+    /// Since when what discovery has to tell may have been missed, where nothing was heard since a time.
+    fn missed_since(&self, heard_at: Micros) -> Micros {
+        let moved = self.place(|place| place.moved_at);
+        moved.map_or(heard_at, |at| heard_at.min(at.saturating_sub(MOVED_SOONER)))
+    }
 }
 
 /// Watches whenever the module asks for it; a watch that ends is reported as lost.
 pub fn run(core: &Core, source: &Source, mut revision: u64, asked: &Receiver<()>) {
     while asked.recv().is_ok() {
-        let loss = loop {
+        loop {
             let address = source.address();
-            let fault = watch(core, source, address, &mut revision);
+            let mut heard_at = core.clock.now();
+            let fault = watch(core, source, address, &mut revision, &mut heard_at);
+            // What was asked for meanwhile has been done; left here, each would make one more watch for good. A
+            // move sets the address before it asks: so the address is looked at only after that.
+            while asked.try_recv().is_ok() {}
             if source.address() == address {
                 info!("watch lost: {fault}");
-                break fault.loss();
+                core.list_lost(core.clock.now().saturating_sub(source.missed_since(heard_at)));
+                break;
             }
             // Members stay known on the way. What another place counts as a version is its own affair, and a
             // change missed for that would never be told: ask for all there is.
             revision = 0;
-        };
-        // What was asked for meanwhile has been done; left here, each would make one more watch for good.
-        while asked.try_recv().is_ok() {}
-        core.list_lost(loss);
+        }
     }
 }
 
-/// Keeps a watch until it ends, and says why it did.
-fn watch(core: &Core, source: &Source, address: SocketAddr, revision: &mut u64) -> Fault {
+/// Keeps a watch until it ends, and says why it did, and until when it told all there was to tell.
+fn watch(
+    core: &Core,
+    source: &Source,
+    address: SocketAddr,
+    revision: &mut u64,
+    heard_at: &mut Micros,
+) -> Fault {
     let mut stream = match Stream::connect(address, CONNECT, &core.timer) {
         Ok(stream) => stream,
         Err(error) => return Fault::Connect(error),
     };
-    source.place(|place| place.1 = Some(stream.waker()));
+    source.place(|place| place.watch = Some(stream.waker()));
     let call = format!("GET /v1/servers?watch=1&after={revision} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-    let mut heard_at = core.clock.now();
-    let mut silent_at = heard_at + CALL;
+    let mut silent_at = core.clock.now() + CALL;
     let mut alarm = core.timer.alarm(silent_at, stream.waker());
     if let Err(error) = stream.write_all(call.as_bytes(), || core.clock.now() < silent_at) {
         return Fault::Call(error);
@@ -142,18 +161,31 @@
                 warn!("bad list: {fault}");
                 return Fault::List(fault);
             }
+            source.heard(address);
+        }
+        if reader.is_over() {
+            *heard_at = core.clock.now();
+            return Fault::Ended(None);
+        }
+        // Before its head is whole the call has not been answered, however that comes or ends.
+        if used > 0 && reader.has_begun() {
+            drop(alarm);
+            *heard_at = core.clock.now();
+            silent_at = *heard_at + SILENCE;
+            alarm = core.timer.alarm(silent_at, stream.waker());
         }
-        match stream.read_now() {
-            Ok(Some(0)) => return Fault::Ended(None),
-            Ok(Some(_)) => {
-                drop(alarm);
-                heard_at = core.clock.now();
-                silent_at = heard_at + SILENCE;
-                alarm = core.timer.alarm(silent_at, stream.waker());
-                continue;
+        let ended = match stream.read_now() {
+            Ok(Some(0)) => Some(None),
+            Ok(Some(_)) => continue,
+            Ok(None) => None,
+            Err(error) => Some(Some(error)),
+        };
+        if let Some(error) = ended {
+            // Up to its end an answered watch has told all there was to tell.
+            if reader.has_begun() {
+                *heard_at = core.clock.now();
             }
-            Ok(None) => {}
-            Err(error) => return Fault::Ended(Some(error)),
+            return Fault::Ended(error);
         }
         // An old place that still answers must not be listened to any longer.
         if source.address() != address {
@@ -161,7 +193,7 @@
         }
         let now = core.clock.now();
         if now >= silent_at {
-            return Fault::Silent(now - heard_at);
+            return Fault::Silent(now.saturating_sub(*heard_at));
         }
         stream.wait();
     }
@@ -199,6 +231,16 @@
 }
 
 impl Reader {
+    /// The answer's head is whole.
+    pub fn has_begun(&self) -> bool {
+        !matches!(self.body, Body::Head)
+    }
+
+    /// The answer has come to its end, though the connection may stay.
+    pub fn is_over(&self) -> bool {
+        matches!(self.body, Body::Over)
+    }
+
     /// Takes in bytes and says how many were used; the rest is to be offered again with more.
     pub fn take(&mut self, bytes: &[u8]) -> Result<usize, Unread> {
         let mut used = 0;
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -99,7 +99,7 @@
     let (probes, probes_asked) = mpsc::channel();
     let (watches, watches_asked) = mpsc::channel();
     let asked = evaluated.operator.health;
-    let source = Arc::new(Source::new(config.discovery, watches.clone()));
+    let source = Arc::new(Source::new(config.discovery, clock, watches.clone()));
     // A pushing agent is watched from the start: the module asks for watches only where discovery must be called,
     // and what the agent holds counts as told whether it is watched or not.
     if config.settings.discovery == Discovery::Push {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -345,17 +345,6 @@
     WarmCopy,
 }
 
-/// How a watch on the list, or a call for one, was lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Loss {
-    /// It said nothing for so long: what it misses counts as told some seconds after it fell silent.
-    Silent(Micros),
-    /// A watch ended: the list in hand holds for as long as the settings give for asking.
-    Ended,
-    /// A call was refused: the list in hand holds four times as long.
-    Refused,
-}
-
 /// How an attempt of a request ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ended {
@@ -390,8 +379,9 @@
     Probed(MemberId, Outcome, Note),
     /// Word from the list.
     Listed(ListKind, Arc<[Entry]>),
-    /// A call to the list failed, or the watch was lost.
-    ListLost(Loss),
+    /// A call to the list failed, or the watch was lost, after so long without a word: what changed meanwhile has
+    /// been missed, and counts as told some seconds after it changed.
+    ListLost(Micros),
     /// The timer asked for has come due.
     Wake,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -125,7 +125,7 @@
             commits: Commits::default(),
             agenda: Agenda::default(),
             retries: RETRY_SAVED,
-            calls: Calls::new(Fleet::new(settings.fleet), settings.ask_every),
+            calls: Calls::new(&settings),
             error_share: 0.0,
             held_up: vec![1.0; count],
             stalled_at: 0,
@@ -152,7 +152,10 @@
             Event::Departed(id) => self.conclude(id),
             Event::Probed(id, outcome, report) => self.probed(id, outcome, report),
             Event::Listed(kind, entries) => self.listed(kind, &entries),
-            Event::ListLost(loss) => self.renew_later(loss),
+            Event::ListLost(unheard) => {
+                let wait = self.calls.again(unheard, &mut self.rng);
+                self.later(wait, Task::Renew);
+            }
             Event::Wake => {}
         }
         self.run_agenda();
@@ -271,11 +274,6 @@
         self.members.contains_key(&id)
     }
 
-    fn renew_later(&mut self, loss: Loss) {
-        let wait = self.calls.again(loss, &mut self.rng);
-        self.later(wait, Task::Renew);
-    }
-
     fn probe(&mut self, id: MemberId) {
         let may = self.settings.probes.granted();
         let member = self.members.get_mut(&id).filter(|m| may && !m.probe_out);
