End an answer that never ends when its time is over

Cause: exchange (src/bin/asterreel/attempt.rs) looked at its time and at being called off only when a read found nothing. A database that sent notices as fast as it could kept it reading for good: the request outlasted its time, and all other work on the one worker stood still. Change: after 16 reads in a row the time is looked at and others have their turn.

--- a/src/bin/asterreel/attempt.rs
+++ b/src/bin/asterreel/attempt.rs
@@ -13,6 +13,9 @@
 /// How long after its verdict the rest of an answer, which holds the note, is waited for.
 const NOTE_WAIT: Micros = 50_000;
 
+/// After so many reads in a row that found something, others have their turn.
+const READS_IN_TURN: u32 = 16;
+
 /// When to stop waiting: at a time, or when told.
 pub struct Stop {
     pub at: Micros,
@@ -72,7 +75,7 @@
         let written = false;
         return Err(if stopped { Broken::Stopped { written } } else { Broken::Connection { written } });
     }
-    let mut note_until = Micros::MAX;
+    let (mut note_until, mut reads) = (Micros::MAX, 0);
     loop {
         while let Some(message) = pg::message(stream.buffer.data()).map_err(|_| Broken::Malformed)? {
             let bytes = stream.buffer.data();
@@ -89,7 +92,17 @@
         }
         match stream.read_now() {
             Ok(Some(0)) | Err(_) => return Err(Broken::Connection { written: true }),
-            Ok(Some(_)) => continue,
+            Ok(Some(_)) => {
+                // A database that goes on and on must neither outlast its time nor hold up all other work.
+                reads += 1;
+                if reads % READS_IN_TURN == 0 {
+                    if !go_on() {
+                        return Err(Broken::Stopped { written: true });
+                    }
+                    may::coroutine::yield_now();
+                }
+                continue;
+            }
             Ok(None) => {}
         }
         if answer.verdict.is_some() && note_until == Micros::MAX {
