--- a/src/bin/asterreel/discovery/tests.rs
+++ b/src/bin/asterreel/discovery/tests.rs
@@ -80,3 +80,29 @@
     let parsed = may::go!(may::coroutine::Builder::new().stack_size(crate::net::JSON_STACK_WORDS), parse);
     assert_eq!(parsed.expect("started").join().expect("no panic"), [true; 3]);
 }
+
+/// Without a length only the list itself tells whether it is whole: a reset in the middle of it is no end.
+#[test]
+fn a_list_without_a_length_counts_once_it_is_whole_and_nothing_of_it_before() {
+    let body = "{\"revision\":3,\"complete\":true,\"members\":[{\"id\":\"}]\",\"phase\":\"ready\"}]}";
+    let answer = [b"HTTP/1.1 200 OK\r\n\r\n", body.as_bytes()].concat();
+    for end in 0..=answer.len() {
+        let mut reader = Reader::default();
+        reader.take(&answer[..end]).expect("valid");
+        let found: Vec<_> = std::iter::from_fn(|| reader.listing()).collect();
+        assert_eq!(found.len(), usize::from(end == answer.len()), "cut at {end}");
+        assert!(!reader.is_over(), "more may come");
+    }
+}
+
+#[test]
+fn an_answer_has_begun_with_its_whole_head_and_is_over_with_its_last_chunk() {
+    let answer = answer();
+    let head = answer.windows(4).position(|end| end == b"\r\n\r\n").expect("a head") + 4;
+    for end in 0..=answer.len() {
+        let mut reader = Reader::default();
+        reader.take(&answer[..end]).expect("valid");
+        assert_eq!(reader.has_begun(), end >= head, "cut at {end}");
+        assert_eq!(reader.is_over(), end + 2 >= answer.len(), "cut at {end}");
+    }
+}
--- a/src/bin/asterreel/pg/tests.rs
+++ b/src/bin/asterreel/pg/tests.rs
@@ -141,3 +141,29 @@
     assert_eq!(answer.verdict, Some(Verdict::Error(*b"53300")));
     assert!(out.windows(5).any(|field| field == b"D250\0"));
 }
+
+#[test]
+fn a_message_lacks_its_head_then_its_body_and_never_less_than_a_byte() {
+    let whole = simple_query("SELECT 1");
+    let lacks: Vec<usize> = (0..=whole.len()).map(|end| missing(&whole[..end])).collect();
+    assert_eq!(lacks[..5], [5, 4, 3, 2, 1]);
+    assert!((5..whole.len()).all(|end| lacks[end] == whole.len() - end));
+    assert_eq!((lacks[whole.len()], missing(b"Q\xff\xff\xff\xff")), (1, 1));
+    fuzz::garbage(&whole, |bytes| assert!((1..=LONGEST + 1).contains(&missing(bytes))));
+}
+
+#[test]
+fn a_cancel_request_holds_a_key_and_nothing_else() {
+    let key = Key { session: 7, secret: 0xfeed_beef };
+    let request =
+        |length: u32, rest: &[u8]| [&length.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), rest].concat();
+    let whole = request(16, b"\0\0\0\x07\xfe\xed\xbe\xef");
+    assert_eq!(opening(&whole), Ok(Some((Opening::Cancel(key), 16))));
+    assert!((0..16).all(|end| opening(&whole[..end]) == Ok(None)));
+    assert!(opening(&request(12, b"\0\0\0\x07")).is_err());
+    assert!(opening(&request(20, b"\0\0\0\x07\xfe\xed\xbe\xef\0\0\0\0")).is_err());
+    // The key is the one that a session is welcomed with.
+    let mut out = Vec::new();
+    welcome(&mut out, key);
+    assert!(out.windows(13).any(|bytes| bytes == b"K\0\0\0\x0c\0\0\0\x07\xfe\xed\xbe\xef"));
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -222,3 +222,21 @@
     };
     assert_eq!(run(), run());
 }
+
+/// A connection may take long to come up: what was told or happened meanwhile holds for the write as well.
+#[test]
+fn a_send_decided_on_is_not_written_once_its_member_drains_or_its_client_has_gone() {
+    for ending in [EntryState::Draining, EntryState::Gone] {
+        let mut front = Front::ready(settings(), 3);
+        let (write, actions) = front.arrive(WRITE);
+        let (_, to) = sends(&actions)[0];
+        assert!(front.router.may_write(front.now, write, MemberId(to)));
+        front.change(to, ending, 0);
+        assert!(!front.router.may_write(front.now, write, MemberId(to)), "{ending:?}");
+    }
+    let mut front = Front::ready(settings(), 3);
+    let (write, actions) = front.arrive(WRITE);
+    let (_, to) = sends(&actions)[0];
+    front.event(Event::Departed(write));
+    assert!(!front.router.may_write(front.now, write, MemberId(to)));
+}
