Let writes go to a cold primary whatever their lot, and use the whole budget

Cause: the lot for long work held for writes too. At fault: Router::may_go, where a write of 1.6 times the lightest work with a lot above 0.6 could never go to a cold primary, as a thin front never saves up more than one send. Change: only reads at least twice the lightest work that others than the primary may serve draw a lot; COLD_SAFETY is 1.0 again, as the test of the sum of all fronts holds with it.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,9 +9,8 @@
 /// Fronts that may each keep a pace at one member; a larger fleet shares what these would do. Ours.
 const FRONTS_AT_PACE: f64 = 8.0;
 
-/// Share of the fall multiple that we let ourselves use, of a mean load that lies below the capacity: connections cost
-/// a cold member something as well. Ours.
-const COLD_SAFETY: f64 = 0.9;
+/// Share of the fall multiple that we let ourselves use, of a mean load that lies below the capacity. Ours.
+const COLD_SAFETY: f64 = 1.0;
 /// Requests that any budget has room for beyond itself: chance, as the platform counts it.
 const CHANCE: f64 = 2.0;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -753,8 +753,9 @@
     /// Whether the rules on effects, drains and cold members let this request go to this member.
     fn may_go(&self, request: &Request, member: &Member) -> bool {
         let two_out = request.is_out() && !self.settings.parallel.granted();
-        // Long work needs more saved up, and by lot: each front that saved one send up may have one to send.
-        let price = || (request.luck * self.work(request.class())).max(1.0);
+        // Long reads need more saved up, and by lot: each front that saved one send up may have one to send.
+        let long = || Some(self.work(request.class())).filter(|work| request.reads() && *work >= LONG_WORK);
+        let price = || long().map_or(1.0, |work| (request.luck * work).max(1.0));
         let too_cold = self.is_cold(member) && self.cold_credit(member) < price();
         if member.drain_binds(&self.settings) || two_out || too_cold {
             return false;
@@ -840,7 +841,7 @@
         let active = active.filter(|m| self.may_go(request, m));
         let warm = active.is_some_and(|m| !self.is_cold(m));
         let active = |share| active.filter(|m| self.admits(m, share)).map(|m| m.id);
-        if matches!(request.need, Need::Write | Need::Fresh) {
+        if !request.reads() {
             return active(1.0);
         }
         let open = self.members_of(group).filter(|m| !request.tried(m.id) && self.may_go(request, m));
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    /// Whether others than the primary may serve it.
+    pub fn reads(&self) -> bool {
+        !matches!(self.need, Need::Write | Need::Fresh)
+    }
+
     pub fn class(&self) -> usize {
         self.arrival.class.0
     }
