--- a/src/bin/asterreel/discovery/tests.rs
+++ b/src/bin/asterreel/discovery/tests.rs
@@ -117,13 +117,21 @@
         // What is to be dropped takes long enough for a move to fall into it in many rounds.
         (0..500).for_each(|_| asks.send(()).expect("open"));
         let source = Source::new(places[0], Clock::start(), asks);
-        let (ready, go) = (std::sync::Barrier::new(2), &source);
+        let (ended, here) = (std::sync::atomic::AtomicBool::new(false), std::sync::Barrier::new(2));
         let seen = std::thread::scope(|scope| {
             scope.spawn(|| {
-                ready.wait();
-                go.move_to(places[1]);
+                here.wait();
+                // Spinning, as a thread that is woken comes too late; each round a little later than the last.
+                while !ended.load(std::sync::atomic::Ordering::Acquire) {
+                    std::hint::spin_loop();
+                }
+                (0..round).for_each(|_| std::hint::spin_loop());
+                source.move_to(places[1]);
             });
-            ready.wait();
+            here.wait();
+            // The other thread may need a moment to get from the barrier to its loop.
+            std::thread::sleep(std::time::Duration::from_micros(200));
+            ended.store(true, std::sync::atomic::Ordering::Release);
             source.has_moved(places[0], &asked)
         });
         assert!(seen || asked.try_recv().is_ok(), "round {round}: the move is lost");
