Say once how a waiting client leaves in tests, and drop a clear of an empty mailbox

Session::request emptied its mailbox at its end and then cleared it again; five tests spelled out the same three assertions and four the same beginning. Change: the second clear is gone (the next request still clears what came between two); Stage::with_a_waiting_write and leaves_and_nothing_is_sent hold what the tests repeated, assertions as they were.

--- a/src/bin/asterreel/client.rs
+++ b/src/bin/asterreel/client.rs
@@ -686,7 +686,8 @@
                 }
             }
         }
-        // Sends that were ordered and never made: the module would wait for their ends.
+        // What is left is dropped, and sends that were ordered and never made are given back: the module would wait for
+        // their ends.
         let mut made = attempts.len() as u32;
         while let Some(notice) = self.mailbox.take() {
             if matches!(notice, Notice::Order(Order::Send { .. })) {
@@ -695,7 +696,6 @@
             }
         }
         core.forget(id);
-        self.mailbox.clear();
         let took = core.clock.now().saturating_sub(received);
         debug!(request = id.0, class, group = statement.cluster, took, wait = statement.wait_ms, "done");
         if self.left {
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -44,6 +44,22 @@
         Stage { gateway, log, databases, seen }
     }
 
+    /// The same, and a client whose write waits there.
+    fn with_a_waiting_write(name: &str) -> (Stage, Client) {
+        let stage = Stage::new();
+        let mut client = Client::ready(&stage.gateway);
+        client.send(&query(&write(name)));
+        stage.waits(name);
+        (stage, client)
+    }
+
+    /// The gateway takes the client for gone, and not even a primary that turns up gets anything of it.
+    fn leaves_and_nothing_is_sent(&self) {
+        assert!(self.log.says("session ended: Left"));
+        self.primary_comes();
+        assert_eq!(self.reached(), [""; 0]);
+    }
+
     /// Waits until this write has been offered to replicas as often as it may be, and only waits from then on.
     fn waits(&self, write: &str) {
         for _ in 0..7 {
@@ -70,14 +86,9 @@
 
 #[test]
 fn a_write_that_waits_is_not_sent_once_its_client_has_closed() {
-    let stage = Stage::new();
-    let mut client = Client::ready(&stage.gateway);
-    client.send(&query(&write("gone")));
-    stage.waits("gone");
+    let (stage, client) = Stage::with_a_waiting_write("gone");
     drop(client);
-    assert!(stage.log.says("session ended: Left"));
-    stage.primary_comes();
-    assert_eq!(stage.reached(), [""; 0]);
+    stage.leaves_and_nothing_is_sent();
 }
 
 #[test]
@@ -88,47 +99,32 @@
     stage.waits("gone");
     // The welcome is still unread: this close is a reset.
     drop(client);
-    assert!(stage.log.says("session ended: Left"));
-    stage.primary_comes();
-    assert_eq!(stage.reached(), [""; 0]);
+    stage.leaves_and_nothing_is_sent();
 }
 
 /// One that closes only its sending side has gone as well: nothing can tell it from one that closed both.
 #[test]
 fn a_client_that_closes_only_its_sending_side_has_gone() {
-    let stage = Stage::new();
-    let mut client = Client::ready(&stage.gateway);
-    client.send(&query(&write("half")));
-    stage.waits("half");
+    let (stage, mut client) = Stage::with_a_waiting_write("half");
     client.0.shutdown(std::net::Shutdown::Write).expect("shut");
-    assert!(stage.log.says("session ended: Left"));
-    stage.primary_comes();
-    assert_eq!(stage.reached(), [""; 0]);
+    stage.leaves_and_nothing_is_sent();
     assert_eq!(client.answer().0, "", "closed");
 }
 
 #[test]
 fn what_a_client_sent_ahead_of_its_end_is_not_sent_on_either() {
-    let stage = Stage::new();
-    let mut client = Client::ready(&stage.gateway);
-    client.send(&query(&write("first")));
-    stage.waits("first");
+    let (stage, mut client) = Stage::with_a_waiting_write("first");
     let ahead: Vec<u8> = (0..5).flat_map(|n| query(&read(&format!("ahead-{n}")))).collect();
     client.send(&ahead);
     drop(client);
-    assert!(stage.log.says("session ended: Left"));
-    stage.primary_comes();
-    assert_eq!(stage.reached(), [""; 0]);
+    stage.leaves_and_nothing_is_sent();
 }
 
 /// By reading: a session stops reading at 132 KiB sent ahead, and the end behind them was never seen; its write went out
 /// when a primary turned up, and all that was sent ahead after it.
 #[test]
 fn a_client_that_leaves_behind_more_than_is_read_ahead_has_gone_too() {
-    let stage = Stage::new();
-    let mut client = Client::ready(&stage.gateway);
-    client.send(&query(&write("first")));
-    stage.waits("first");
+    let (stage, mut client) = Stage::with_a_waiting_write("first");
     let one = query(&[&read("ahead")[..], &vec![b' '; 20_000]].concat());
     (0..10).for_each(|_| client.send(&one));
     drop(client);
@@ -172,9 +168,7 @@
     // Both are there before it goes on: what a database writes is on its way at once on this machine.
     thread::sleep(Duration::from_millis(100));
     stage.gateway.signal("-CONT");
-    assert!(stage.log.says("session ended: Left"));
-    stage.primary_comes();
-    assert_eq!(stage.reached(), [""; 0]);
+    stage.leaves_and_nothing_is_sent();
 }
 
 /// As PostgreSQL has it: whoever knows a session's key may cancel what it is doing. The keys were all zeros, and cancels
