Log each call to discovery, each list taken, and how old the list may be

Need: the logs of the incident say nothing of when a list came, which version is held, or when and why discovery was called: of four gateways shown only changes of primaries are logged. Change: 'calling discovery' (number of the call, version asked after, for how long the list may have been out of date), 'list taken' (version, kind, entries), and the same figures with 'watch lost', also where discovery moved, which was not logged. Discovery's module is split into the watch, the reader of its answers, and where it is; nothing else changes.

--- a/src/bin/asterreel/discovery/tests.rs
+++ b/src/bin/asterreel/discovery/tests.rs
@@ -1,5 +1,9 @@
-use super::*;
+use super::reader::{Reader, Unread, LONGEST_LIST};
+use super::Source;
 use crate::fuzz;
+use asterreel::config::Listing;
+use asterreel_control::clock::Clock;
+use std::net::SocketAddr;
 
 /// Two lists, one of them indented, with a beat before, between and after, in chunks cut anywhere.
 fn answer() -> Vec<u8> {
