Bound calls to discovery from the last whole list, and take clients once one is here

Class: a bound on staleness that is measured from the latest attempt, not from the latest success.

Change: src/calls.rs decides the waits: first call within 2 s of a start or a loss, calls that fail begin 2.5 s apart at most, whatever each of them took. src/watch.rs decides when a watch is broken and up to when it was news: beats within a list keep nothing, and a list that does not come whole is asked for again within 0.2 s, as what was written counts as told. A gateway that starts takes clients once its first list is here, discovery can't be reached, or 3.5 s have passed. Related paths of the class: moves of discovery in a row count from the first one (Source::move_to; red test first); the lease of a placement at the start counts from before the read. Looked at and sound: rights and duties of the control plane count from when they were asked for, positions from the time they state.

--- a/src/bin/asterreel-adapter/wire.rs
+++ b/src/bin/asterreel-adapter/wire.rs
@@ -282,7 +282,8 @@
         let event = match event {
             // The wire tells of a watch that ended as of a call that failed; only the latter had said nothing yet.
             Event::ListLost(_) => {
-                Event::ListLost(self.called_at.take().map_or(0, |at| now.saturating_sub(at)))
+                let unheard = self.called_at.take().map_or(0, |at| now.saturating_sub(at));
+                Event::ListLost(ListLoss::after(unheard))
             }
             event => event,
         };
@@ -460,7 +461,7 @@
             "incr" => ListKind::Changes,
             "total" => ListKind::Full,
             "warm_copy" => ListKind::WarmCopy,
-            "lost" => return Ok(Event::ListLost(0)),
+            "lost" => return Ok(Event::ListLost(ListLoss::default())),
             other => return Err(format!("VIEW: unknown kind {other}")),
         };
         if kind != ListKind::WarmCopy {
--- a/src/bin/asterreel/cells.rs
+++ b/src/bin/asterreel/cells.rs
@@ -27,12 +27,14 @@
         let rules = settings.rules().map_err(|(key, fault)| bad(&key, fault))?;
         let path = settings.placement.clone();
         let shown = path.display().to_string();
+        // The lease counts from before the look: what is read may have been old when it came.
+        let until = clock.now() + settings.lease_ms * 1000;
         let bytes = std::fs::read(&path).map_err(|error| bad("placement", format!("{shown}: {error}")))?;
         let placement = record::decode(&bytes, Epoch::default());
         let placement = placement.map_err(|error| bad("placement", format!("{shown}: {error}")))?;
         let lease = settings.lease_ms * 1000;
         let by_statement = rules.who.by_statement();
-        let gate = Gate::new(rules, placement, clock.now() + lease);
+        let gate = Gate::new(rules, placement, until);
         let gate = Arc::new(Mutex::new(gate));
         let cells = Cells { gate, clock, by_statement };
         let (watched, every) = (cells.clone(), Duration::from_millis(settings.reread_ms));
@@ -40,7 +42,6 @@
             let (mut last, mut fault) = (bytes, String::new());
             loop {
                 std::thread::sleep(every);
-                // The lease counts from before the look: what is read may have been old when it came.
                 let until = clock.now() + lease;
                 let now = watched.look(&path, &mut last, until);
                 if let Err(error) = &now {
--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -174,8 +174,8 @@
         self.feed(Event::Probed(member, outcome, report));
     }
 
-    pub fn list_lost(&self, unheard: Micros) {
-        self.feed(Event::ListLost(unheard));
+    pub fn list_lost(&self, loss: ListLoss) {
+        self.feed(Event::ListLost(loss));
     }
 
     pub fn wake(&self) {
--- a/src/bin/asterreel/discovery.rs
+++ b/src/bin/asterreel/discovery.rs
@@ -1,15 +1,17 @@
 //! The watch on discovery's list of members.
 
+mod first_list;
 mod reader;
 mod source;
 
+pub use first_list::{FirstList, PATIENCE as FIRST_LIST_PATIENCE};
 pub use source::Source;
 
 use crate::core::Core;
 use crate::net::Stream;
 use asterreel::config::Listing;
-use asterreel::fleet::SILENCE;
-use asterreel::interface::{ListKind, Micros};
+use asterreel::interface::{ListKind, ListLoss, Micros};
+use asterreel::watch::Watch;
 use may::sync::mpsc::Receiver;
 use reader::{Reader, Unread};
 use std::net::SocketAddr;
@@ -17,8 +19,6 @@
 
 /// How long a connection to discovery may take.
 const CONNECT: Micros = 1_000_000;
-/// How long a call may go without the first byte of its answer; discovery itself gives up on one after 2 s.
-const CALL: Micros = 2_500_000;
 
 /// Why a watch ended.
 #[derive(Debug, thiserror::Error)]
@@ -57,24 +57,30 @@
     }
 }
 
-/// Watches whenever the module asks for it; a watch that ends is reported as lost.
-pub fn run(core: &Core, source: &Source, revision: u64, asked: &Receiver<()>) {
+/// Watches whenever the module asks for it; a watch that ends is reported as lost. The first list, and whatever shows that
+/// none will come soon, opens the door to clients.
+pub fn run(core: &Core, source: &Source, revision: u64, asked: &Receiver<()>, first_list: &FirstList) {
     let current_at = core.clock.now();
     let mut record = Record { revision, current_at, calls: 0, lists: 0, failed_in_a_row: 0 };
     info!(revision, "list from the configuration in force, of unknown age");
     while asked.recv().is_ok() {
         loop {
             let address = source.address();
-            let mut heard_at = core.clock.now();
+            let called_at = core.clock.now();
             record.calls += 1;
             record.failed_in_a_row += 1;
-            let (calls, stale_ms) = (record.calls, record.stale_ms(heard_at));
+            let (calls, stale_ms) = (record.calls, record.stale_ms(called_at));
             info!(calls, after = record.revision, stale_ms, %address, "calling discovery");
-            let fault = watch(core, source, address, &mut record, &mut heard_at);
-            let (failed, stale_ms) = (record.failed_in_a_row, record.stale_ms(core.clock.now()));
+            let mut watch = Watch::call(called_at);
+            let fault = listen(core, source, address, &mut record, &mut watch, first_list);
+            let now = core.clock.now();
+            let (failed, stale_ms) = (record.failed_in_a_row, record.stale_ms(now));
             info!(calls, lists = record.lists, failed, stale_ms, "watch lost: {fault}");
+            if matches!(fault, Fault::Connect(_)) {
+                first_list.settle();
+            }
             if !source.has_moved(address, asked) {
-                core.list_lost(core.clock.now().saturating_sub(source.missed_since(heard_at)));
+                core.list_lost(loss(source, &fault, &watch, now));
                 break;
             }
             // Members stay known on the way. What another place counts as a version is its own affair, and a
@@ -84,24 +90,36 @@
     }
 }
 
-/// Keeps a watch until it ends, and says why it did, and until when it told all there was to tell.
-fn watch(
+/// What is lost with a watch that ended now with this fault.
+fn loss(source: &Source, fault: &Fault, watch: &Watch, now: Micros) -> ListLoss {
+    let (lost, heard_at) = match fault {
+        Fault::Ended(_) => watch.ended(now),
+        _ => watch.given_up(now),
+    };
+    ListLoss {
+        unheard: now.saturating_sub(source.missed_since(heard_at)),
+        cut: lost.cut || matches!(fault, Fault::List(_)),
+    }
+}
+
+/// Calls discovery and takes in what it tells until the watch ends; says why it did.
+fn listen(
     core: &Core,
     source: &Source,
     address: SocketAddr,
     record: &mut Record,
-    heard_at: &mut Micros,
+    watch: &mut Watch,
+    first_list: &FirstList,
 ) -> Fault {
     let mut stream = match Stream::connect(address, CONNECT, &core.timer) {
         Ok(stream) => stream,
         Err(error) => return Fault::Connect(error),
     };
     source.place(|place| place.watch = Some(stream.waker()));
-    let call =
-        format!("GET /v1/servers?watch=1&after={} HTTP/1.1\r\nHost: {address}\r\n\r\n", record.revision);
-    let mut silent_at = core.clock.now() + CALL;
-    let mut alarm = core.timer.alarm(silent_at, stream.waker());
-    if let Err(error) = stream.write_all(call.as_bytes(), || core.clock.now() < silent_at) {
+    let after = record.revision;
+    let call = format!("GET /v1/servers?watch=1&after={after} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+    let mut alarm = core.timer.alarm(watch.broken_at(), stream.waker());
+    if let Err(error) = stream.write_all(call.as_bytes(), || core.clock.now() < watch.broken_at()) {
         return Fault::Call(error);
     }
     let mut reader = Reader::default();
@@ -119,41 +137,32 @@
                 return Fault::List(fault);
             }
             source.heard(address);
+            first_list.settle();
+        }
+        if used > 0 {
+            watch.receive(core.clock.now(), reader.received());
+            if record.failed_in_a_row == 0 {
+                record.current_at = watch.heard_at();
+            }
+            drop(alarm);
+            alarm = core.timer.alarm(watch.broken_at(), stream.waker());
         }
         if reader.is_over() {
-            *heard_at = core.clock.now();
             return Fault::Ended(None);
         }
-        // Before its head is whole the call has not been answered, however that comes or ends.
-        if used > 0 && reader.has_begun() {
-            drop(alarm);
-            *heard_at = core.clock.now();
-            if record.failed_in_a_row == 0 && !reader.is_within_list() {
-                record.current_at = *heard_at;
-            }
-            silent_at = *heard_at + SILENCE;
-            alarm = core.timer.alarm(silent_at, stream.waker());
-        }
-        let ended = match stream.read_now() {
-            Ok(Some(0)) => Some(None),
+        match stream.read_now() {
+            Ok(Some(0)) => return Fault::Ended(None),
             Ok(Some(_)) => continue,
-            Ok(None) => None,
-            Err(error) => Some(Some(error)),
-        };
-        if let Some(error) = ended {
-            // Up to its end an answered watch has told all there was to tell.
-            if reader.has_begun() {
-                *heard_at = core.clock.now();
-            }
-            return Fault::Ended(error);
+            Ok(None) => {}
+            Err(error) => return Fault::Ended(Some(error)),
         }
         // An old place that still answers must not be listened to any longer.
         if source.address() != address {
             return Fault::Moved;
         }
         let now = core.clock.now();
-        if now >= silent_at {
-            return Fault::Silent(now.saturating_sub(*heard_at));
+        if now >= watch.broken_at() {
+            return Fault::Silent(now.saturating_sub(watch.heard_at()));
         }
         stream.wait();
     }
--- a/src/bin/asterreel/discovery/reader.rs
+++ b/src/bin/asterreel/discovery/reader.rs
@@ -1,6 +1,7 @@
 //! Takes discovery's HTTP answers apart into lists of members. No input or output.
 
 use asterreel::config::Listing;
+use asterreel::watch::Received;
 
 /// The longest head of an answer, and the longest list, that are taken in.
 const LONGEST_HEAD: usize = 16 * 1024;
@@ -27,6 +28,8 @@
     text: Vec<u8>,
     /// How much of it is known to hold no whole list.
     seen: usize,
+    /// How many bytes of the body were no white space.
+    solid: u64,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -54,9 +57,10 @@
         matches!(self.body, Body::Over)
     }
 
-    /// A list has begun to come and is not whole yet.
-    pub fn is_within_list(&self) -> bool {
-        self.text.iter().any(|byte| !byte.is_ascii_whitespace())
+    /// What all that was taken in makes.
+    pub fn received(&self) -> Received {
+        let within_list = self.text.iter().any(|byte| !byte.is_ascii_whitespace());
+        Received { answered: self.has_begun(), within_list, solid: self.solid }
     }
 
     /// Takes in bytes and says how many were used; the rest is to be offered again with more.
@@ -70,7 +74,7 @@
                     None => return Ok(used),
                 },
                 Body::Plain => {
-                    self.text.extend_from_slice(rest);
+                    self.keep(rest);
                     used = bytes.len();
                 }
                 Body::ChunkSize => match httparse::parse_chunk_size(rest) {
@@ -86,7 +90,7 @@
                 },
                 Body::Chunk(left) => {
                     let count = left.min(rest.len());
-                    self.text.extend_from_slice(&rest[..count]);
+                    self.keep(&rest[..count]);
                     used += count;
                     self.body = if count == left { Body::ChunkEnd } else { Body::Chunk(left - count) };
                 }
@@ -107,6 +111,12 @@
         }
     }
 
+    /// Keeps bytes of the body until they are decoded.
+    fn keep(&mut self, bytes: &[u8]) {
+        self.text.extend_from_slice(bytes);
+        self.solid += bytes.iter().filter(|byte| !byte.is_ascii_whitespace()).count() as u64;
+    }
+
     /// The next whole list, or what makes it none. Lists may be indented, so that lines say nothing; the empty
     /// lines between them are white space.
     pub fn listing(&mut self) -> Option<serde_json::Result<Listing>> {
--- a/src/bin/asterreel/discovery/source.rs
+++ b/src/bin/asterreel/discovery/source.rs
@@ -18,7 +18,7 @@
     address: SocketAddr,
     /// Wakes the watch.
     pub(super) watch: Option<WaitIoWaker>,
-    /// When it moved here, for as long as nothing has been heard from here.
+    /// When it first moved since a list came, for as long as nothing has been heard from here.
     moved_at: Option<Micros>,
 }
 
@@ -41,7 +41,9 @@
     /// From now on discovery is watched here; a watch elsewhere ends at once.
     pub fn move_to(&self, address: SocketAddr) {
         self.place(|place| {
-            (place.address, place.moved_at) = (address, Some(self.clock.now()));
+            place.address = address;
+            // A further move while nothing was heard gives no time anew: the first one counts until a list comes.
+            place.moved_at.get_or_insert(self.clock.now());
             place.watch.iter().for_each(WaitIoWaker::wakeup);
         });
         // It may be between two watches, and what the new place tells counts as told soon: don't sit that out.
--- a/src/bin/asterreel/discovery/tests.rs
+++ b/src/bin/asterreel/discovery/tests.rs
@@ -141,3 +141,24 @@
         assert!(seen || asked.try_recv().is_ok(), "round {round}: the move is lost");
     }
 }
+
+/// The class of fault of report ad44e2: a bound measured from the latest attempt. What the first new place had counts as told
+/// 4 s after the first move, however often discovery moves on before a list comes.
+#[test]
+fn moves_in_a_row_count_from_the_first_until_something_is_heard() {
+    let places: [SocketAddr; 3] =
+        ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"].map(|place| place.parse().expect("a place"));
+    let (asks, _asked) = may::sync::mpsc::channel();
+    let clock = Clock::start();
+    let source = Source::new(places[0], clock, asks);
+    assert_eq!(source.missed_since(7), 7);
+    source.move_to(places[1]);
+    let first = source.missed_since(u64::MAX);
+    std::thread::sleep(std::time::Duration::from_millis(20));
+    source.move_to(places[2]);
+    assert_eq!(source.missed_since(u64::MAX), first, "the second move gives no time anew");
+    source.heard(places[1]);
+    assert_eq!(source.missed_since(u64::MAX), first, "an old place says nothing of the new one");
+    source.heard(places[2]);
+    assert_eq!(source.missed_since(7), 7);
+}
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -39,7 +39,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
-use tracing::{info, level_filters::LevelFilter};
+use tracing::{info, level_filters::LevelFilter, warn};
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
@@ -82,7 +82,8 @@
     let peers = operator.lease.as_ref().map(|lease| service::start(lease, clock)).transpose()?;
     let for_health = operator.health.as_ref().map_or(0, |health| health.descriptors());
     let descriptors = Descriptors::share(config.sockets, for_health);
-    let Decisions { core, pool, source } = startup::start(&config, &operator, descriptors.databases, clock)?;
+    let decisions = startup::start(&config, &operator, descriptors.databases, clock)?;
+    let Decisions { core, pool, source, first_list } = decisions;
     let cells = operator.cells.as_ref().map(|cells| Cells::start(cells, clock)).transpose()?;
     let most = descriptors.clients;
     let gateway = Gateway::new(core, pool, &config.setup, &config.settings, most, config.sockets, cells);
@@ -93,6 +94,11 @@
     if let Some(knobs) = operator.readmission.clone() {
         gateway.readmit(Readmission::new(knobs, gateways, config.seed));
     }
+    if !first_list.wait(discovery::FIRST_LIST_PATIENCE) {
+        warn!(
+            "no list from discovery yet: serving by the one in the configuration, which may be out of date"
+        );
+    }
     accept(&gateway, config.listen)?;
     let health = match &operator.health {
         Some(health) => Some(health::start(&config.name, health, gateway.clone(), config.listen)?),
--- a/src/bin/asterreel/startup.rs
+++ b/src/bin/asterreel/startup.rs
@@ -1,7 +1,7 @@
 //! What a gateway starts before it listens: the decision module with what feeds it, and the share of descriptors.
 
 use crate::core::Core;
-use crate::discovery::{self, Source};
+use crate::discovery::{self, FirstList, Source};
 use crate::net;
 use crate::pool::Pool;
 use crate::probe;
@@ -47,6 +47,8 @@
     pub pool: Arc<Pool>,
     /// Where discovery is.
     pub source: Arc<Source>,
+    /// Whether discovery's list has come.
+    pub first_list: Arc<FirstList>,
 }
 
 /// Starts the decision module with its timer, its probes and its watch on discovery.
@@ -84,9 +86,11 @@
     core.listed(ListKind::WarmCopy, &config.known)
         .map_err(|fault| format!("configuration: known: {fault}"))?;
     let (watching, watched, revision) = (core.clone(), source.clone(), config.known.revision);
-    let watch = move || discovery::run(&watching, &watched, revision, &watches_asked);
+    let first_list = Arc::<FirstList>::default();
+    let listed = first_list.clone();
+    let watch = move || discovery::run(&watching, &watched, revision, &watches_asked, &listed);
     net::spawn_with_stack(net::JSON_STACK_WORDS, watch)?;
-    Ok(Decisions { core, pool, source })
+    Ok(Decisions { core, pool, source, first_list })
 }
 
 /// Runs the probes that the module asks for, each beside the others.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,7 +4,7 @@
 //! does what each front does at every member and at discovery, what a cold member may get from it, and what share of
 //! reads it takes. It never asks who the other fronts are or what they do.
 
-use crate::interface::{Discovery, Micros, Outcome, Settings};
+use crate::interface::{Micros, Outcome, Settings};
 
 /// Fronts that may each keep a pace at one member; a larger fleet shares what these would do. Ours.
 const FRONTS_AT_PACE: f64 = 8.0;
@@ -210,75 +210,3 @@
         }
     }
 }
-
-/// First wait before a lost watch is renewed where a front is one of few, microseconds. Ours.
-const RENEW_FIRST: Micros = 200_000;
-/// The same where lists are pushed: the agent serves this front alone, at once and at no cost, and what it has counts
-/// as told whether it is asked or not. Ours.
-const RENEW_AT_AGENT: Micros = 50_000;
-/// What a call to discovery may take, microseconds: it answers calls one by one, and fails those that wait longer.
-const CALL_TAKES: Micros = 2_000_000;
-/// After how long what a watch or a call misses counts as told, microseconds, however the watch was lost and however
-/// many calls have failed since. The platform's.
-const MISSED_TOLD: Micros = 6_000_000;
-/// How long a watch that says something every two seconds may be silent before it is taken for broken,
-/// microseconds: a beat and a half. What is left until [`MISSED_TOLD`] is for the next call and its spread.
-pub const SILENCE: Micros = 3_000_000;
-
-/// When to call discovery, which serves all fronts one after another and fails calls that wait too long: a crowd
-/// that calls again soon keeps it full. Waits grow with the fleet and with each failure, so that all of its calls
-/// together do not, but only as far as the call can be answered before what the front misses counts as told,
-/// whatever the fleet's size and whatever happened to the calls before.
-#[derive(Clone, Copy, Debug)]
-pub struct Calls {
-    fleet: Fleet,
-    discovery: Discovery,
-    ask_every: Micros,
-    first: Micros,
-    wait: Micros,
-}
-
-impl Calls {
-    /// The calls of one front; a list that is not asked for counts as told after a time that the settings give.
-    pub fn new(settings: &Settings) -> Calls {
-        let fleet = Fleet::new(settings.fleet);
-        let first = fleet.pace(RENEW_FIRST);
-        Calls {
-            fleet,
-            discovery: settings.discovery,
-            ask_every: settings.ask_every,
-            first,
-            wait: first,
-        }
-    }
-
-    /// The wait before the first call after a start: all fronts may start at once, and none has missed a call.
-    pub fn begin(&self, rng: &mut fastrand::Rng) -> Micros {
-        let longest = self.ask_every.saturating_sub(CALL_TAKES);
-        rng.u64(0..=(self.first - RENEW_FIRST).min(longest.max(RENEW_FIRST)))
-    }
-
-    /// A call was answered.
-    pub fn answered(&mut self) {
-        self.wait = self.first;
-    }
-
-    /// The wait before the next call, after one failed or a watch was lost without a word for so long. Twice as long
-    /// each time, as far as there is time; drawn anew each time, as watches of all fronts are lost together: a large
-    /// fleet needs all of the time that there is for its calls to fall apart.
-    pub fn again(&mut self, unheard: Micros, rng: &mut fastrand::Rng) -> Micros {
-        if self.discovery == Discovery::Push {
-            return RENEW_AT_AGENT;
-        }
-        let told = MISSED_TOLD.min(self.ask_every).saturating_sub(unheard);
-        let longest = told.saturating_sub(CALL_TAKES).max(RENEW_FIRST);
-        let wait = self.wait;
-        self.wait = (wait * 2).min(MISSED_TOLD);
-        if self.fleet.is_large() {
-            rng.u64(0..=longest.min(2 * wait))
-        } else {
-            let mean = wait.min(longest * 2 / 3);
-            mean / 2 + rng.u64(0..=mean)
-        }
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -379,13 +379,29 @@
     Probed(MemberId, Outcome, Note),
     /// Word from the list.
     Listed(ListKind, Arc<[Entry]>),
-    /// A call to the list failed, or the watch was lost, after so long without a word: what changed meanwhile has
-    /// been missed, and counts as told some seconds after it changed.
-    ListLost(Micros),
+    /// A call to the list failed, or the watch was lost: what changes meanwhile is missed, and counts as told some
+    /// seconds after it changed.
+    ListLost(ListLoss),
     /// The timer asked for has come due.
     Wake,
 }
 
+/// How a call to the list failed, or a watch on it was lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListLoss {
+    /// For how long nothing was heard, microseconds; of a call that was not answered, since it began.
+    pub unheard: Micros,
+    /// A list had begun to come and did not come whole, or made no sense: what it holds counts as told already.
+    pub cut: bool,
+}
+
+impl ListLoss {
+    /// A loss after so many microseconds without a word, with no list begun.
+    pub fn after(unheard: Micros) -> ListLoss {
+        ListLoss { unheard, cut: false }
+    }
+}
+
 /// A remark for the people on call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Remark {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod calls;
 pub mod cells;
 pub mod config;
 pub mod fleet;
@@ -23,5 +24,6 @@
 pub mod settings;
 mod state;
 pub mod statements;
+pub mod watch;
 
 pub use asterreel_control::{agreed, lease, versions};
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,8 @@
 //!    and grows with answers.
 //! 10. A further attempt goes out only within what the outcomes prove, and from a budget.
 
-use crate::fleet::{self, Calls, Credit, Fleet, LEARN, LOADED, PRESSED};
+use crate::calls::Calls;
+use crate::fleet::{self, Credit, Fleet, LEARN, LOADED, PRESSED};
 use crate::interface::*;
 use crate::roles::Source;
 use crate::state::*;
@@ -148,8 +149,8 @@
             Event::Departed(id) => self.conclude(id),
             Event::Probed(id, outcome, report) => self.probed(id, outcome, report),
             Event::Listed(kind, entries) => self.listed(kind, &entries),
-            Event::ListLost(unheard) => {
-                let wait = self.calls.again(unheard, &mut self.rng);
+            Event::ListLost(loss) => {
+                let wait = self.calls.again(loss, &mut self.rng);
                 self.later(wait, Task::Renew);
             }
             Event::Wake => {}
