Take in long lists of discovery for what their length costs

Seen by reading, then by a test: Reader::listing decoded each piece of a list from the list's beginning on; 800 members in pieces of 8 KiB were 2.9 MB decoded of 0.21 MB, sixteen times as much for four times the length, on part of a core; and 3,200 members indented are 0.9 MB of 1 MiB allowed. Change: a list is decoded once its brackets close (Nesting passes over each byte once) and, to find nonsense early, when its text has doubled; a list may be 2 MiB; the room of a long list is given back.

--- a/src/bin/asterreel/discovery/reader.rs
+++ b/src/bin/asterreel/discovery/reader.rs
@@ -3,9 +3,9 @@
 use asterreel::config::Listing;
 use asterreel::watch::Received;
 
-/// The longest head of an answer, and the longest list, that are taken in.
+/// The longest head of an answer, and the longest list, that are taken in: 3,200 databases take 0.9 MB indented.
 const LONGEST_HEAD: usize = 16 * 1024;
-pub const LONGEST_LIST: usize = 1 << 20;
+pub const LONGEST_LIST: usize = 2 << 20;
 
 /// What is wrong with an answer.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
@@ -20,16 +20,22 @@
     Chunk,
 }
 
+/// The length from which text that is no whole list yet is first decoded, to find nonsense. Ours.
+const FIRST_LOOK: usize = 4 * 1024;
+
 /// Reads an HTTP answer as it comes and takes its body apart into lists. No input or output.
 #[derive(Default)]
 pub struct Reader {
     body: Body,
     /// Of the body, what is not decoded yet.
     text: Vec<u8>,
-    /// How much of it is known to hold no whole list.
-    seen: usize,
+    /// The length from which it is looked at although no list has ended.
+    look_again_at: usize,
+    nesting: Nesting,
     /// How many bytes of the body were no white space.
     solid: u64,
+    /// How many bytes were looked at to find lists, each as often as it was.
+    decoded: u64,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -57,6 +63,12 @@
         matches!(self.body, Body::Over)
     }
 
+    /// How many bytes were decoded so far, each as often as it was.
+    #[cfg(test)]
+    pub fn decoded(&self) -> u64 {
+        self.decoded
+    }
+
     /// What all that was taken in makes.
     pub fn received(&self) -> Received {
         let within_list = self.text.iter().any(|byte| !byte.is_ascii_whitespace());
@@ -114,28 +126,61 @@
     /// Keeps bytes of the body until they are decoded.
     fn keep(&mut self, bytes: &[u8]) {
         self.text.extend_from_slice(bytes);
+        bytes.iter().for_each(|byte| self.nesting.pass(*byte));
         self.solid += bytes.iter().filter(|byte| !byte.is_ascii_whitespace()).count() as u64;
     }
 
     /// The next whole list, or what makes it none. Lists may be indented, so that lines say nothing; the empty
-    /// lines between them are white space.
+    /// lines between them are white space. Decodes where a list ends, and what has doubled since it was looked at,
+    /// so that nonsense is found early and a long list costs what its length does.
     pub fn listing(&mut self) -> Option<serde_json::Result<Listing>> {
-        if !self.text[self.seen..].contains(&b'}') {
+        if !self.nesting.has_closed && self.text.len() < self.look_again_at {
             return None;
         }
+        self.decoded += self.text.len() as u64;
         let mut lists = serde_json::Deserializer::from_slice(&self.text).into_iter::<Listing>();
         let next = lists.next();
         let used = lists.byte_offset();
-        if next.as_ref().is_some_and(|next| next.as_ref().is_err_and(serde_json::Error::is_eof)) {
-            self.seen = self.text.len();
+        if next.as_ref().is_none_or(|next| next.as_ref().is_err_and(serde_json::Error::is_eof)) {
+            self.look_again_at = 2 * self.text.len().max(FIRST_LOOK);
+            self.nesting.has_closed = false;
             return None;
         }
         self.text.drain(..used);
-        self.seen = 0;
+        // A long list must not hold its room for the life of the watch.
+        self.text.shrink_to(FIRST_LOOK);
+        self.look_again_at = FIRST_LOOK;
         next
     }
 }
 
+/// How deep in a JSON value the bytes that came so far end, and whether one has closed; strings are passed over.
+#[derive(Default)]
+struct Nesting {
+    depth: usize,
+    in_string: bool,
+    escaped: bool,
+    /// A bracket closed the outermost one, or one that never opened, since this was last cleared.
+    has_closed: bool,
+}
+
+impl Nesting {
+    fn pass(&mut self, byte: u8) {
+        match byte {
+            _ if self.escaped => self.escaped = false,
+            b'\\' => self.escaped = self.in_string,
+            b'"' => self.in_string = !self.in_string,
+            _ if self.in_string => {}
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' => {
+                self.depth = self.depth.saturating_sub(1);
+                self.has_closed |= self.depth == 0;
+            }
+            _ => {}
+        }
+    }
+}
+
 /// The length of an answer's head and how its body comes, once the head is there as a whole.
 fn head(bytes: &[u8]) -> Result<Option<(usize, Body)>, Unread> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
--- a/src/bin/asterreel/discovery/tests.rs
+++ b/src/bin/asterreel/discovery/tests.rs
@@ -162,3 +162,49 @@
     source.heard(places[2]);
     assert_eq!(source.missed_since(7), 7);
 }
+
+/// A list of so many members, indented as much as lists come.
+fn large_list(members: usize) -> Vec<u8> {
+    let entry = |n: usize| {
+        format!(
+            "    {{\n      \"id\": \"s-{n:08x}\",\n      \"host_port\": \"127.100.{}.{}:5433\",\n      \
+             \"locality\": \"linz-north\",\n      \"flavor\": \"std-3core\",\n      \"cell\": {},\n      \
+             \"phase\": \"ready\",\n      \"size\": 1.0,\n      \"up_since_ms\": 1764691234567,\n      \
+             \"access\": \"reader\"\n    }}",
+            n / 250,
+            n % 250,
+            n / 5
+        )
+    };
+    let entries: Vec<String> = (0..members).map(entry).collect();
+    format!(
+        "{{\n  \"revision\": 9,\n  \"complete\": true,\n  \"members\": [\n{}\n  ]\n}}\n",
+        entries.join(",\n")
+    )
+    .into_bytes()
+}
+
+/// The largest fleet has 3,200 databases; a gateway has part of a core. By reading: each piece of a list was decoded from the
+/// list's beginning on, so that a list four times as long cost sixteen times as much.
+#[test]
+fn the_list_of_the_largest_fleet_is_taken_in_for_what_its_length_costs() {
+    let cost = |members: usize| {
+        let list = large_list(members);
+        let mut reader = Reader::default();
+        reader.take(b"HTTP/1.1 200 OK\r\n\r\n").expect("a head");
+        let (mut found, mut decoded) = (Vec::new(), 0);
+        for piece in list.chunks(8 * 1024) {
+            reader.take(piece).expect("valid");
+            while let Some(list) = reader.listing() {
+                found.push(list.expect("a list").members.len());
+            }
+            decoded = reader.decoded();
+        }
+        assert_eq!(found, [members]);
+        (list.len() as u64, decoded)
+    };
+    for members in [120, 800, 3_200] {
+        let (length, decoded) = cost(members);
+        assert!(decoded <= 4 * length, "{members} members: {decoded} bytes decoded of {length}");
+    }
+}
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -134,3 +134,70 @@
         assert!(stopped_at.elapsed() < Duration::from_secs(5), "beats keep a watch whose list never ends");
     }
 }
+
+/// Reads a call and keeps it waiting as a full discovery does, then refuses it.
+fn refuse_after_queue(mut call: TcpStream) {
+    use std::io::{Read, Write};
+    let mut head = [0; 512];
+    let _ = call.read(&mut head);
+    thread::sleep(Duration::from_secs(2));
+    let _ = call.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+}
+
+/// By report ad44e2: each call that failed in discovery's queue gave the next one time anew, up to 2 s after up to 4 s for
+/// the first. Three calls of a gateway of 312 begin before what its lost watch misses binds.
+#[test]
+fn calls_that_fail_in_the_queue_follow_each_other_in_time() {
+    let (primary, replica) = (Watched::start(true), Watched::start(false));
+    let discovery = listen();
+    let place = discovery.local_addr().expect("bound");
+    let (_gateway, _log) = of_the_fleet([&primary, &replica], place, "8c1f30d27a5be964");
+    let call = call_within(&discovery, PATIENCE).expect("a first call");
+    let mut watch = asterreel_rig::database::Watch::begin(call).expect("begun");
+    watch.tell(&changes(1, "")).expect("told");
+    thread::sleep(Duration::from_millis(200));
+    drop(watch);
+    let lost_at = Instant::now();
+    let mut began = Vec::new();
+    for _ in 0..3 {
+        let call = call_within(&discovery, PATIENCE).expect("a further call");
+        began.push(lost_at.elapsed());
+        thread::spawn(move || refuse_after_queue(call));
+    }
+    for (at, latest) in began.iter().zip([2_000, 4_500, 7_000].map(Duration::from_millis)) {
+        assert!(*at <= latest + MACHINE, "calls began {began:?} after the loss");
+    }
+}
+
+/// Whether a gateway takes clients.
+fn takes_clients(gateway: &Gateway) -> bool {
+    TcpStream::connect(gateway.address).is_ok()
+}
+
+/// The list in the configuration is of unknown age: no client is taken before discovery's list is here, but a discovery that
+/// never answers holds a gateway up for 3.5 s only.
+#[test]
+fn a_started_gateway_takes_clients_with_its_first_list_or_after_its_patience() {
+    let (primary, replica) = (Watched::start(true), Watched::start(false));
+    for answers in [true, false] {
+        let discovery = listen();
+        let place = discovery.local_addr().expect("bound");
+        let started_at = Instant::now();
+        let (gateway, log) = of_the_fleet([&primary, &replica], place, "8c1f30d27a5be964");
+        let call = call_within(&discovery, PATIENCE).expect("a first call");
+        assert!(started_at.elapsed() < Duration::from_secs(2) + MACHINE, "{:?}", started_at.elapsed());
+        assert!(!takes_clients(&gateway), "no list is here");
+        if answers {
+            let mut watch = asterreel_rig::database::Watch::begin(call).expect("begun");
+            watch.tell(&changes(1, "")).expect("told");
+            assert!(log.says("serving"), "with its list");
+            assert!(takes_clients(&gateway));
+        } else {
+            assert!(log.says("no list from discovery yet"));
+            assert!(log.says("serving"));
+            let took = started_at.elapsed();
+            let expected = Duration::from_millis(3_400)..Duration::from_millis(4_500);
+            assert!(expected.contains(&took), "served after {took:?}");
+        }
+    }
+}
