Rest between attempts that this machine could not send, and blame no database for them

By reading: `blame` took EMFILE, ENFILE and EADDRNOTAVAIL for this machine's own errors, but counted ENOBUFS, ENOMEM, EAGAIN, ENETDOWN and ENETUNREACH against the database, four of which fail it; and an attempt that was never sent was followed by the next in the same moment, until all were spent and the request refused. Change: the list of own errors (pool.rs, names from nix in place of numbers written here); after two attempts in a row that were never sent a request rests 20 ms, doubled each time. Tests, both red before: a_moment_in_which_nothing_can_be_sent_ends_no_request (given up after 6 attempts at once), what_this_machine_is_out_of_is_not_blamed_on_the_database (replaces the test of EMFILE alone). Not shown on real processes: the shim that makes calls fail is not written. Measured: rules, mechanism, failures, settings, health_fronts and unit tests green.

--- a/src/bin/asterreel/health/fronts.rs
+++ b/src/bin/asterreel/health/fronts.rs
@@ -2,6 +2,7 @@
 
 use super::{grpc, Shared};
 use asterreel::health::{agent, crowd, http, postgres, Scope};
+use nix::errno::Errno;
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
@@ -16,8 +17,8 @@
 const REST: Duration = Duration::from_secs(30);
 /// Wait after accepting failed.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
+const EMFILE: i32 = Errno::EMFILE as i32;
+const ENFILE: i32 = Errno::ENFILE as i32;
 
 /// What a listener speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/bin/asterreel/pool.rs
+++ b/src/bin/asterreel/pool.rs
@@ -6,6 +6,7 @@
 use crate::timer::Timer;
 use asterreel::interface::Micros;
 use asterreel_control::clock::Clock;
+use nix::errno::Errno;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -44,7 +45,7 @@
 /// Why there is no connection. In every case nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoConnection {
-    /// All descriptors set aside for databases are in use.
+    /// All descriptors set aside for databases are in use, or this machine is out of something that connections need.
     NoRoom,
     /// The database holds too many.
     TurnedAway,
@@ -134,18 +135,26 @@
     }
 }
 
-/// Errors of this process, which has run out of something, are not the database's.
+/// What `socket` and `connect` fail with where this machine has run out of something, or has no route for a moment.
+const OWN_ERRORS: [Errno; 8] = [
+    Errno::EMFILE,
+    Errno::ENFILE,
+    Errno::ENOBUFS,
+    Errno::ENOMEM,
+    Errno::EADDRNOTAVAIL,
+    Errno::EAGAIN,
+    Errno::ENETDOWN,
+    Errno::ENETUNREACH,
+];
+
+/// Errors of this machine are not the database's.
 fn blame(error: &std::io::Error) -> NoConnection {
-    match error.raw_os_error() {
-        Some(EMFILE | ENFILE | EADDRNOTAVAIL) => NoConnection::NoRoom,
+    let code = error.raw_os_error().map(Errno::from_raw);
+    match code {
+        Some(code) if OWN_ERRORS.contains(&code) => NoConnection::NoRoom,
         _ => NoConnection::Failed,
     }
 }
 
-/// Linux's codes for too many open files, here or on the machine, and for no free port.
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
-const EADDRNOTAVAIL: i32 = 99;
-
 #[cfg(test)]
 mod tests;
--- a/src/bin/asterreel/pool/tests.rs
+++ b/src/bin/asterreel/pool/tests.rs
@@ -61,8 +61,27 @@
 }
 
 #[test]
-fn running_out_of_descriptors_is_not_blamed_on_the_database() {
-    let error = std::io::Error::from_raw_os_error;
-    assert_eq!(blame(&error(EMFILE)), NoConnection::NoRoom);
-    assert_eq!(blame(&error(111)), NoConnection::Failed);
+fn what_this_machine_is_out_of_is_not_blamed_on_the_database() {
+    let error = |code: Errno| std::io::Error::from_raw_os_error(code as i32);
+    // As Linux documents socket(2) and connect(2).
+    for code in [
+        Errno::EMFILE,
+        Errno::ENFILE,
+        Errno::ENOBUFS,
+        Errno::ENOMEM,
+        Errno::EADDRNOTAVAIL,
+        Errno::EAGAIN,
+        Errno::ENETDOWN,
+        Errno::ENETUNREACH,
+    ] {
+        assert_eq!(blame(&error(code)), NoConnection::NoRoom, "{code}");
+    }
+    for code in [
+        Errno::ECONNREFUSED,
+        Errno::ECONNRESET,
+        Errno::ETIMEDOUT,
+        Errno::EHOSTUNREACH,
+    ] {
+        assert_eq!(blame(&error(code)), NoConnection::Failed, "{code}");
+    }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,11 @@
 const LAG_HOLDS: Micros = 2 * PROBE_EVERY;
 /// How often what waits is looked at again and a primary sought, microseconds: misses cost little. Ours.
 const SERVE_EVERY: Micros = 20_000;
+/// Attempts in a row that were never sent after which a request rests before the next: this machine may be out of
+/// descriptors, ports or routes for a moment, in which all attempts would be spent. Ours.
+const UNSENT_RESTS: u32 = 2;
+/// How often such a rest doubles at most. Ours.
+const UNSENT_DOUBLES: u32 = 4;
 /// A member owing answers is silent after this many of its usual tail latencies. Ours.
 const SILENT_TAILS: f64 = 1.5;
 /// Further attempts earned by each arrival; the most that may be saved up. Ours: a tenth can't feed a storm.
@@ -563,6 +568,10 @@
         attempt.out = false;
         attempt.may_have_run = !ended.outcome.proves_nothing_ran();
         let (member, sent) = (attempt.member, attempt.sent);
+        request.unsent = if ended.outcome == Outcome::Moot { request.unsent + 1 } else { 0 };
+        if let Some(rests) = request.unsent.checked_sub(UNSENT_RESTS) {
+            request.rests_until = self.now.saturating_add(SERVE_EVERY << rests.min(UNSENT_DOUBLES));
+        }
         let (class, need, group) = (request.class(), request.need, request.arrival.group);
         let session = request.arrival.session;
         self.hear(member, ended.report, sent, Source::Report);
@@ -752,7 +761,8 @@
         let long = || Some(self.work(request.class())).filter(|work| request.reads() && *work >= LONG_WORK);
         let price = || long().map_or(1.0, |work| (request.luck * work).max(1.0));
         let too_cold = self.is_cold(member) && self.cold_credit(member) < price();
-        if member.drain_binds(&self.settings) || two_out || too_cold {
+        let rests = self.now < request.rests_until;
+        if member.drain_binds(&self.settings) || two_out || too_cold || rests {
             return false;
         }
         let zone = |id| self.members.get(&id).map(|member| member.zone);
--- a/src/state.rs
+++ b/src/state.rs
@@ -122,6 +122,10 @@
     pub answered: bool,
     pub streaming: bool,
     pub waiting: bool,
+    /// Attempts in a row that were never sent.
+    pub unsent: u32,
+    /// Not sent before this time.
+    pub rests_until: Micros,
 }
 
 /// One send of a request.
@@ -152,6 +156,8 @@
             answered: false,
             streaming: false,
             waiting: false,
+            unsent: 0,
+            rests_until: 0,
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -634,3 +634,31 @@
     front.ends(write, 0, Outcome::Served, Note::default());
     assert!(!front.router.knows(MemberId(0)));
 }
+
+/// By reading: where `socket` or `connect` failed at once, all attempts of a request were spent in the same moment, and it was
+/// refused though the machine had what it needs again soon after.
+#[test]
+fn a_moment_in_which_nothing_can_be_sent_ends_no_request() {
+    for class in [WRITE, ANY, BOUNDED] {
+        let mut front = Front::ready(settings(), 3);
+        let (request, mut actions) = front.arrive(class);
+        let over_at = front.now + 100 * MS;
+        let mut attempt = 0;
+        loop {
+            let ended = refused(&actions, request) || failed(&actions, request);
+            assert!(!ended, "class {class}: given up after {attempt} attempts");
+            let sent = sends(&actions).iter().any(|(sent, _)| *sent == request);
+            if sent && front.now >= over_at {
+                break;
+            }
+            if sent {
+                actions = front.ends(request, attempt, Outcome::Moot, Note::default());
+                attempt += 1;
+            } else {
+                front.now += 5 * MS;
+                actions = front.event(Event::Wake);
+            }
+            assert!(front.now < over_at + 100 * MS, "class {class}: not tried again in time");
+        }
+    }
+}
