Start without a list only where discovery refuses the connection

A started gateway gave up waiting for its first list after any error of its connection to discovery: one that is over in a moment, or is this machine's own (no descriptor, no buffers, no route), let it take clients by a list of unknown age. It waits on now unless nobody listens there. Also: the size from which a fleet is large is said once (Fleet::is_large), a repeated part of a test is a function; no assertion changed.

--- a/src/bin/asterreel/discovery.rs
+++ b/src/bin/asterreel/discovery.rs
@@ -14,6 +14,7 @@
 use asterreel::watch::Watch;
 use may::sync::mpsc::Receiver;
 use reader::{Reader, Unread};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use tracing::{info, warn};
 
@@ -76,7 +77,8 @@
             let now = core.clock.now();
             let (failed, stale_ms) = (record.failed_in_a_row, record.stale_ms(now));
             info!(calls, lists = record.lists, failed, stale_ms, "watch lost: {fault}");
-            if matches!(fault, Fault::Connect(_)) {
+            // Any other error may be over in a moment, or be this machine's own.
+            if matches!(&fault, Fault::Connect(error) if error.kind() == ErrorKind::ConnectionRefused) {
                 first_list.settle();
             }
             if !source.has_moved(address, asked) {
--- a/src/bin/asterreel/discovery/first_list.rs
+++ b/src/bin/asterreel/discovery/first_list.rs
@@ -16,7 +16,7 @@
 }
 
 impl FirstList {
-    /// The list is here, or discovery can't be reached at all.
+    /// The list is here, or nobody listens where discovery should be.
     pub fn settle(&self) {
         *self.settled.lock().unwrap_or_else(PoisonError::into_inner) = true;
         self.changed.notify_all();
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -6,6 +6,7 @@
 //! the latest call alone: calls that fail begin at most [`CYCLE`] apart, and the first one after a start or a loss begins
 //! within [`FIRST_CALL`]. Never decides what is done with a list, and does no input or output.
 
+use crate::fleet::Fleet;
 use crate::interface::{Discovery, ListLoss, Micros, Settings};
 
 /// First wait before a lost watch is renewed where a gateway is one of few, microseconds. Ours.
@@ -32,14 +33,15 @@
 /// The time that first calls are spread over for each gateway of a large fleet, microseconds. A discovery answered 150
 /// calls a second where it was measured: what comes faster waits in its queue, up to 900 gateways for under 2 s. Ours.
 const SPREAD_EACH: Micros = 4_500;
-/// Fleets up to this size are not spread: each gateway waits as it would alone. Ours.
-const SMALL_FLEET: u32 = 8;
 
 /// The calls of one gateway to discovery.
 #[derive(Clone, Copy, Debug)]
 pub struct Calls {
     discovery: Discovery,
-    fleet: u32,
+    /// Each gateway of a small fleet waits as it would alone.
+    is_large: bool,
+    /// What the first calls of all gateways are spread over.
+    spread: Micros,
     /// After how long what was missed counts as told.
     told_after: Micros,
     /// Calls that failed, and watches that were lost, since the last list; that of the start is one.
@@ -53,27 +55,19 @@
     pub fn new(settings: &Settings) -> Calls {
         Calls {
             discovery: settings.discovery,
-            fleet: settings.fleet,
+            is_large: Fleet::new(settings.fleet).is_large(),
+            spread: (SPREAD_EACH * Micros::from(settings.fleet)).min(FIRST_CALL),
             told_after: MISSED_TOLD.min(settings.ask_every),
             losses: 1,
             wait: RENEW_FIRST,
         }
     }
 
-    fn is_large(&self) -> bool {
-        self.fleet > SMALL_FLEET
-    }
-
-    /// What the first calls of all gateways are spread over.
-    fn spread(&self) -> Micros {
-        (SPREAD_EACH * Micros::from(self.fleet)).min(FIRST_CALL)
-    }
-
     /// The wait before the first call after a start: all gateways may start at once. What the list in the configuration
     /// misses may bind soon, as its age is not known.
     pub fn begin(&self, rng: &mut fastrand::Rng) -> Micros {
-        if self.is_large() {
-            rng.u64(0..=self.spread())
+        if self.is_large {
+            rng.u64(0..=self.spread)
         } else {
             0
         }
@@ -92,7 +86,7 @@
         }
         let longest = self.longest(loss);
         self.losses = self.losses.saturating_add(1);
-        if self.is_large() {
+        if self.is_large {
             return rng.u64(0..=longest);
         }
         let mean = self.wait.min(longest * 2 / 3);
@@ -107,8 +101,8 @@
             return (RENEW_FIRST << self.losses.min(4)).min(CYCLE);
         }
         let left = self.told_after.saturating_sub(loss.unheard + CALL_TAKES).max(RENEW_FIRST);
-        let apart = if self.losses == 0 && self.is_large() {
-            self.spread()
+        let apart = if self.losses == 0 && self.is_large {
+            self.spread
         } else {
             CYCLE.saturating_sub(loss.unheard).max(LEAST_SPREAD)
         };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -441,35 +441,31 @@
         let settings = Settings { fleet, discovery: Discovery::Ask, ..settings() };
         for seed in 0..40 {
             for takes in [0, 20 * MS, SECOND, CALL] {
+                let what = format!("fleet {fleet}, seed {seed}, each takes {takes} us");
                 let (mut front, began) = started(&settings, seed);
-                let mut calls = vec![began];
-                for _ in 0..2 {
-                    front.now += takes;
-                    wait_after_loss(&mut front, takes);
-                    calls.push(front.now - START);
-                }
-                assert_calls(
-                    &calls,
-                    &format!("after a start, fleet {fleet}, seed {seed}, each takes {takes} us"),
-                );
+                assert_calls(&calls_from(&mut front, began, takes), &format!("after a start, {what}"));
 
                 front.event(Event::Listed(ListKind::Changes, [].into()));
-                let lost_at = front.now;
-                let mut calls = vec![wait_after_loss(&mut front, 0)];
-                for _ in 0..2 {
-                    front.now += takes;
-                    wait_after_loss(&mut front, takes);
-                    calls.push(front.now - lost_at);
-                }
-                assert_calls(
-                    &calls,
-                    &format!("after a loss, fleet {fleet}, seed {seed}, each takes {takes} us"),
-                );
+                let first = wait_after_loss(&mut front, 0);
+                assert_calls(&calls_from(&mut front, first, takes), &format!("after a loss, {what}"));
             }
         }
     }
 }
 
+/// When a first call, made now after such a wait, and two more begin, each of which fails after so long; from the beginning
+/// of the first wait on.
+fn calls_from(front: &mut Front, first: Micros, takes: Micros) -> Vec<Micros> {
+    let from = front.now - first;
+    let mut calls = vec![first];
+    for _ in 0..2 {
+        front.now += takes;
+        wait_after_loss(front, takes);
+        calls.push(front.now - from);
+    }
+    calls
+}
+
 /// The first call within 2 s, each further one 2.5 s after the one before at most; clocks are read each 10 ms.
 fn assert_calls(calls: &[Micros], what: &str) {
     for (number, (at, latest)) in calls.iter().zip([2_000, 4_500, 7_000]).enumerate() {
