--- a/review/common/run.sh
+++ b/review/common/run.sh
@@ -23,5 +23,5 @@
 status=$?
 started=
 [ "$status" -le 1 ] || status=2
-[ "$status" = 2 ] && cat "$folder/gateway.log" 2>/dev/null | tail -n 20
+[ "$status" != 2 ] || tail -n 10 "$folder"/*.log 2>/dev/null
 exit "$status"
