Judge the window of repeats again before each write of an attempt

Cause: Router::may_repeat compared the window with the time of the decision. The repeat then waited for a connection, and may_send, asked once after that wait, had a list of conditions of its own, without the window.

Change: src/policy/send_rules.rs is the one place that judges a send. Selection asks it, and Router::permit_send is asked before each write to the socket, so after the wait for a connection, its startup and a write that was held up. The window counts from the first attempt's send. A dispatch carries how long it may wait until it is sent (send_within); at the end of the window the wait for a connection and the one in the queue end, and the client hears at once that the write failed. Nothing is rejected that may have run. `attempt ended` logs the reason of a refused send.

Evidence: tests/sends.rs on the code before: repeat_is_not_sent_after_its_window failed (the write was sent a second time 2 s after the window, and served), repeat_within_its_window_is_sent passed; both pass now. rules_hold_at_the_send_for_random_waits (40 cases) and tests/failures/sends.rs pass, and fail with the window left out of the second judgement. The tests of may_send ask permit_send and state the reason now; random windows of tests/settings.rs are shorter, so that repeats meet their end.

--- a/src/bin/asterreel-sim-adapter/wire.rs
+++ b/src/bin/asterreel-sim-adapter/wire.rs
@@ -336,6 +336,7 @@
                 request,
                 member,
                 timeout: timeout_us,
+                ..
             } => {
                 sent = Some(request);
                 let names = job(request).zip(store(member));
--- a/src/bin/asterreel/core.rs
+++ b/src/bin/asterreel/core.rs
@@ -178,9 +178,20 @@
         self.handle(Event::AttemptEnded(ended));
     }
 
-    /// Whether an attempt that was dispatched earlier may still be sent to its member, see [`Router::may_send`].
-    pub(crate) fn may_send(&self, request: RequestId, member: MemberId) -> bool {
-        self.with(|state| state.router.may_send(self.clock.now(), request, member))
+    /// Whether bytes of an attempt may be written now.
+    ///
+    /// # Errors
+    ///
+    /// The rule that forbids it, see [`Router::permit_send`].
+    pub(crate) fn permit_send(
+        &self,
+        request: RequestId,
+        attempt: AttemptNo,
+    ) -> Result<(), SendRefusal> {
+        self.with(|state| {
+            let now = self.clock.now();
+            state.router.permit_send(now, request, attempt)
+        })
     }
 
     /// Reports to the router that a request needs no answer from it any more: its client has gone or cancelled it, or
@@ -260,6 +271,7 @@
                 request,
                 member,
                 timeout,
+                send_within,
             } => {
                 let Some(address) = self.members.address(member) else {
                     return warn!(
@@ -275,6 +287,7 @@
                     member,
                     address,
                     deadline,
+                    send_by: now.saturating_add(send_within).min(deadline),
                 }));
             }
             Action::CancelAttempt { request, attempt } => {
--- a/src/bin/asterreel/core/commands.rs
+++ b/src/bin/asterreel/core/commands.rs
@@ -13,6 +13,8 @@
     pub address: SocketAddr,
     /// When the attempt stops waiting for its answer.
     pub deadline: Micros,
+    /// When the attempt ends if it has not been sent by then.
+    pub send_by: Micros,
 }
 
 /// A command of the router for one request.
--- a/src/bin/asterreel/discovery/mod.rs
+++ b/src/bin/asterreel/discovery/mod.rs
@@ -147,9 +147,7 @@
         let times_out_at = self.subscription.times_out_at();
         let mut alarm = self.core.timer.alarm(times_out_at, stream.waker());
         stream
-            .write_all(self.request(address).as_bytes(), || {
-                clock.now() < times_out_at
-            })
+            .write_until(self.request(address).as_bytes(), clock, times_out_at)
             .map_err(WatchError::Send)?;
         let mut reader = ResponseReader::default();
         loop {
--- a/src/bin/asterreel/front/mod.rs
+++ b/src/bin/asterreel/front/mod.rs
@@ -4,8 +4,8 @@
 //! are registries, and `shed` selects the sessions to close when a limit on clients is near. Each client has a
 //! `session`, which reads its messages, and a `mailbox`, to which the router, attempts and other sessions post events
 //! for it. `request` handles one request from its arrival to its last attempt: `admission` decides whether it is
-//! admitted, `attempts` keeps track of the attempts in flight, and `error_answer` writes any final answer other than a
-//! row.
+//! admitted, `attempts` keeps track of the attempts in flight, `send_guard` judges whether bytes of an attempt may be
+//! written, and `error_answer` writes any final answer other than a row.
 
 mod accept;
 mod admission;
@@ -16,6 +16,7 @@
 mod mailbox;
 mod open_requests;
 mod request;
+mod send_guard;
 mod session;
 mod sessions;
 mod shed;
--- a/src/bin/asterreel/front/request.rs
+++ b/src/bin/asterreel/front/request.rs
@@ -8,6 +8,7 @@
 use super::attempts::{Attempt, Attempts};
 use super::error_answer::ErrorAnswer;
 use super::mailbox::SessionEvent;
+use super::send_guard::SendGuard;
 use super::session::{Session, SessionError};
 use crate::core::{Command, Dispatch};
 use crate::postgres::{self as pg, Statement};
@@ -218,6 +219,7 @@
             member,
             address,
             deadline,
+            send_by,
         } = dispatch;
         if request.answer_pending {
             debug!(
@@ -242,10 +244,16 @@
             token: token.clone(),
         });
         let (gateway, mailbox) = (self.gateway.clone(), self.mailbox.clone());
-        let (id, statement) = (request.id, request.statement.clone());
+        let statement = request.statement.clone();
+        let guard = SendGuard {
+            gateway: gateway.clone(),
+            request: request.id,
+            attempt: number,
+            token: token.clone(),
+            send_by,
+        };
         spawn(move || {
-            let may_send = || gateway.core.may_send(id, member);
-            let result = attempt::run(&gateway.pool, address, &statement, &token, may_send);
+            let result = attempt::run(&gateway.pool, address, &statement, &token, &guard);
             mailbox.post(SessionEvent::AttemptEnded(number, result));
         });
     }
@@ -280,6 +288,7 @@
             request = request.id.0,
             attempt = number.0,
             ?outcome,
+            refusal = result.refusal.map(tracing::field::display),
             ?role,
             latency,
             "attempt ended"
--- a/src/bin/asterreel/front/session.rs
+++ b/src/bin/asterreel/front/session.rs
@@ -320,7 +320,7 @@
         let core = self.gateway.core.clone();
         let deadline = core.clock.now() + WRITE_TIMEOUT_US;
         let _alarm = core.timer.alarm(deadline, self.stream.waker());
-        let written = self.stream.write_all(bytes, || core.clock.now() < deadline);
+        let written = self.stream.write_until(bytes, core.clock, deadline);
         written.map_err(|_| SessionError::ClientGone)
     }
 
--- a/src/bin/asterreel/probe.rs
+++ b/src/bin/asterreel/probe.rs
@@ -5,6 +5,7 @@
 use crate::request::outcome;
 use crate::request::pool::Pool;
 use crate::request::round_trip::{round_trip, ConnectionError};
+use crate::request::write_gate::UntilStopped;
 use asterreel::interface::{MemberReport, Outcome};
 use std::net::SocketAddr;
 
@@ -25,9 +26,14 @@
     };
     let mut answer = Answer::default();
     let query = pg::simple_query(REPORT_QUERY);
+    let gate = UntilStopped {
+        token: &token,
+        clock: pool.clock,
+    };
     let end = round_trip(
         &mut connection.stream,
         &query,
+        &gate,
         &mut answer,
         &token,
         pool.clock,
--- a/src/bin/asterreel/request/attempt.rs
+++ b/src/bin/asterreel/request/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt at a server, from acquiring a connection to the outcome.
 //!
 //! The statement is written at most once per attempt; an attempt that ends before its answer is complete closes its
-//! connection.
+//! connection, unless nothing was written to it.
 
 use crate::postgres::{Answer, Statement};
 use crate::request::cancellation::CancellationToken;
 use crate::request::outcome;
 use crate::request::pool::Pool;
-use crate::request::round_trip::round_trip;
+use crate::request::round_trip::{round_trip, ConnectionError};
+use crate::request::write_gate::{WriteGate, WriteRefusal};
 use asterreel::interface::{MemberReport, Outcome};
 use std::net::SocketAddr;
 
@@ -16,6 +17,8 @@
 pub(crate) struct AttemptResult {
     /// The attempt's outcome, which says what may have run.
     pub outcome: Outcome,
+    /// Why the statement was not written to its end, where that was forbidden.
+    pub refusal: Option<WriteRefusal>,
     /// What the server reported about itself with its answer.
     pub answer_report: MemberReport,
     /// The messages of the row as the server sent them; empty unless the attempt was served.
@@ -23,50 +26,54 @@
 }
 
 impl AttemptResult {
-    fn without_answer(outcome: Outcome) -> AttemptResult {
+    fn without_connection(outcome: Outcome) -> AttemptResult {
         AttemptResult {
             outcome,
+            refusal: None,
             answer_report: MemberReport::default(),
             rows: Vec::new(),
         }
     }
 }
 
-/// Makes one attempt. `may_send` is called once, when the connection is ready; if it returns false, nothing is sent.
+/// Makes one attempt. `gate` is asked before each write of the statement, and the attempt ends as not sent if it has no
+/// connection by [`WriteGate::write_by`].
 pub(crate) fn run(
     pool: &Pool,
     address: SocketAddr,
     statement: &Statement,
     token: &CancellationToken,
-    may_send: impl Fn() -> bool,
+    gate: &dyn WriteGate,
 ) -> AttemptResult {
-    let mut connection = match pool.acquire(address, token.deadline) {
+    let connect_by = gate.write_by();
+    let mut connection = match pool.acquire(address, connect_by) {
         Ok(connection) => connection,
         Err(error) => {
-            let deadline_passed = pool.clock.now() >= token.deadline;
+            let deadline_passed = pool.clock.now() >= connect_by;
             let outcome = outcome::without_connection(error, deadline_passed);
-            return AttemptResult::without_answer(outcome);
+            return AttemptResult::without_connection(outcome);
         }
     };
-    // Connecting may have taken long: the staleness bound may have been exceeded, or a drain begun, since the decision.
-    if !may_send() {
-        pool.release(address, connection);
-        return AttemptResult::without_answer(Outcome::NotSent);
-    }
     let left_us = token.deadline.saturating_sub(pool.clock.now());
     let query = statement.forward((left_us / 1000).max(1));
     let mut answer = Answer::default();
     let ended = round_trip(
         &mut connection.stream,
         &query,
+        gate,
         &mut answer,
         token,
         pool.clock,
     );
     pool.release_if_complete(address, connection, ended, &answer);
     let outcome = outcome::of_round_trip(ended, answer.result.as_ref(), token.is_cancelled());
+    let refusal = match ended {
+        Err(ConnectionError::Refused { refusal, .. }) => Some(refusal),
+        _ => None,
+    };
     AttemptResult {
         outcome,
+        refusal,
         answer_report: answer.report,
         rows: answer.rows,
     }
--- a/src/bin/asterreel/request/outcome.rs
+++ b/src/bin/asterreel/request/outcome.rs
@@ -33,7 +33,10 @@
         },
         // A server runs a query only once its last byte has arrived: one that was not written completely never runs.
         (None, Err(ConnectionError::Lost { written: false })) => Outcome::ConnectFailed,
-        (None, Err(ConnectionError::Stopped { written: false })) => Outcome::NotSent,
+        (
+            None,
+            Err(ConnectionError::Stopped { written: false } | ConnectionError::Refused { .. }),
+        ) => Outcome::NotSent,
         (None, Err(ConnectionError::Lost { written: true })) => Outcome::Reset,
         (None, Err(ConnectionError::Stopped { written: true })) if cancelled => Outcome::Cancelled,
         (None, Err(ConnectionError::Stopped { written: true })) => Outcome::TimedOut,
--- a/src/bin/asterreel/request/pool.rs
+++ b/src/bin/asterreel/request/pool.rs
@@ -6,6 +6,7 @@
 use crate::postgres::{self as pg, sqlstate, Answer, QueryResult};
 use crate::request::cancellation::CancellationToken;
 use crate::request::round_trip::{round_trip, ConnectionError};
+use crate::request::write_gate::UntilStopped;
 use crate::runtime::net::Stream;
 use crate::runtime::sync::lock;
 use crate::runtime::timer::Timer;
@@ -139,7 +140,7 @@
         self.close_idle();
     }
 
-    /// Returns a connection to the pool if its answer is complete, and closes it otherwise.
+    /// Returns a connection to the pool if its answer is complete or nothing was written to it, and closes it otherwise.
     pub(crate) fn release_if_complete(
         &self,
         address: SocketAddr,
@@ -147,7 +148,12 @@
         ended: Result<(), ConnectionError>,
         answer: &Answer,
     ) {
-        if ended.is_ok() && answer.result.is_some() && connection.stream.buffer.data().is_empty() {
+        let is_reusable = match ended {
+            Ok(()) => answer.result.is_some(),
+            Err(ConnectionError::Refused { begun, .. }) => !begun,
+            Err(_) => false,
+        };
+        if is_reusable && connection.stream.buffer.data().is_empty() {
             self.release(address, connection);
         }
     }
@@ -196,9 +202,14 @@
         };
         let mut answer = Answer::default();
         let token = CancellationToken::new(deadline);
+        let gate = UntilStopped {
+            token: &token,
+            clock: self.clock,
+        };
         let ended = round_trip(
             &mut connection.stream,
             &pg::startup(),
+            &gate,
             &mut answer,
             &token,
             self.clock,
--- a/src/bin/asterreel/request/round_trip.rs
+++ b/src/bin/asterreel/request/round_trip.rs
@@ -1,14 +1,15 @@
 //! One round trip on a connection to a server: writes a message and reads the answer up to ReadyForQuery.
 //!
-//! A message is never written twice, and an incomplete or malformed answer is never reported as complete.
+//! A message is never written twice, no byte of it is written past its gate, and an incomplete or malformed answer is
+//! never reported as complete.
 
 use crate::postgres::{self as pg, Answer};
 use crate::request::cancellation::CancellationToken;
-use crate::runtime::net::Stream;
+use crate::request::write_gate::{WriteGate, WriteRefusal};
+use crate::runtime::net::{Stream, WriteError};
 use crate::runtime::timer::Alarm;
 use asterreel::interface::Micros;
 use asterreel_control::clock::Clock;
-use std::io::{self, ErrorKind};
 use thiserror::Error;
 
 /// How long to wait, after the result, for the rest of the answer, which contains the server's report.
@@ -26,12 +27,15 @@
     /// The deadline passed, or the attempt was cancelled; `written` as for `Lost`.
     #[error("deadline passed or attempt cancelled")]
     Stopped { written: bool },
+    /// The message must not be written, or not to its end; `begun` says whether some of its bytes had been written.
+    #[error("not written: {refusal}")]
+    Refused { refusal: WriteRefusal, begun: bool },
     /// The answer violates the protocol.
     #[error("malformed answer")]
     Malformed,
 }
 
-/// Writes a message and reads its answer up to ReadyForQuery.
+/// Writes a message, as far as its gate allows, and reads its answer up to ReadyForQuery.
 ///
 /// # Errors
 ///
@@ -39,27 +43,33 @@
 pub(crate) fn round_trip(
     stream: &mut Stream,
     message: &[u8],
+    gate: &dyn WriteGate,
     answer: &mut Answer,
     token: &CancellationToken,
     clock: Clock,
 ) -> Result<(), ConnectionError> {
     token.set_waker(stream.waker());
-    let deadline_alarm = stream.timer.alarm(token.deadline, stream.waker());
-    if !token.is_active(clock) {
-        return Err(ConnectionError::Stopped { written: false });
-    }
+    let write_alarm = stream.timer.alarm(gate.write_by(), stream.waker());
     stream
-        .write_all(message, || token.is_active(clock))
+        .write_all(message, || gate.check())
         .map_err(|error| write_error(&error))?;
+    drop(write_alarm);
+    let deadline_alarm = stream.timer.alarm(token.deadline, stream.waker());
     read_answer(stream, answer, token, clock, deadline_alarm)
 }
 
-fn write_error(error: &io::Error) -> ConnectionError {
+fn write_error(error: &WriteError<WriteRefusal>) -> ConnectionError {
     let written = false;
-    if error.kind() == ErrorKind::TimedOut {
-        ConnectionError::Stopped { written }
-    } else {
-        ConnectionError::Lost { written }
+    match *error {
+        WriteError::Refused {
+            reason: WriteRefusal::Stopped,
+            ..
+        } => ConnectionError::Stopped { written },
+        WriteError::Refused { reason, written } => ConnectionError::Refused {
+            refusal: reason,
+            begun: written > 0,
+        },
+        WriteError::Socket(_) => ConnectionError::Lost { written },
     }
 }
 
--- /dev/null
+++ b/src/bin/asterreel/request/write_gate.rs
@@ -0,0 +1,55 @@
+//! What is asked before bytes of a message are written to a server, each time again.
+//!
+//! A write may be held up by a server that does not read, and whatever allowed it may have ended by the time when the
+//! socket takes more bytes.
+
+use crate::request::cancellation::CancellationToken;
+use asterreel::interface::{Micros, SendRefusal};
+use asterreel_control::clock::Clock;
+use thiserror::Error;
+
+/// Why bytes of a message must not be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(crate) enum WriteRefusal {
+    /// The wait was cancelled, or its deadline has passed.
+    #[error("cancelled, or the deadline has passed")]
+    Stopped,
+    /// A rule of the router forbids the send.
+    #[error(transparent)]
+    Rule(#[from] SendRefusal),
+}
+
+/// Judges whether bytes of a message may be written now.
+pub(crate) trait WriteGate {
+    /// Whether bytes may be written now. Asked before each write to the socket.
+    ///
+    /// # Errors
+    ///
+    /// Why not; none of the bytes that are left is written then.
+    fn check(&self) -> Result<(), WriteRefusal>;
+
+    /// When the wait for the next write ends at the latest.
+    fn write_by(&self) -> Micros;
+}
+
+/// The gate for messages that run nothing, such as a startup message: only their deadline and a cancellation count.
+pub(crate) struct UntilStopped<'a> {
+    /// Stops the writes.
+    pub token: &'a CancellationToken,
+    /// The clock of the token's deadline.
+    pub clock: Clock,
+}
+
+impl WriteGate for UntilStopped<'_> {
+    fn check(&self) -> Result<(), WriteRefusal> {
+        if self.token.is_active(self.clock) {
+            Ok(())
+        } else {
+            Err(WriteRefusal::Stopped)
+        }
+    }
+
+    fn write_by(&self) -> Micros {
+        self.token.deadline
+    }
+}
--- a/src/bin/asterreel/runtime/net.rs
+++ b/src/bin/asterreel/runtime/net.rs
@@ -12,6 +12,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Why not all bytes were written.
+#[derive(Debug)]
+pub(crate) enum WriteError<E> {
+    /// The caller's check failed, after so many bytes had been written.
+    Refused {
+        /// The error of the check.
+        reason: E,
+        /// How many bytes had been written.
+        written: usize,
+    },
+    /// The socket failed.
+    Socket(io::Error),
+}
+
 /// A connection and its read buffer.
 ///
 /// Waits have no timeout: the caller sets an alarm first.
@@ -118,30 +132,51 @@
         self.socket.wait_io();
     }
 
-    /// Writes all bytes; before each wait `keep_waiting` decides whether to go on.
+    /// Writes all bytes; `check` decides before each write, hence also after each wait, whether to go on.
     ///
     /// # Errors
     ///
-    /// The errors of the socket, and `TimedOut` where `keep_waiting` returned false.
-    pub(crate) fn write_all(
+    /// The errors of the socket, and the error of `check`.
+    pub(crate) fn write_all<E>(
         &mut self,
-        mut bytes: &[u8],
-        keep_waiting: impl Fn() -> bool,
-    ) -> io::Result<()> {
-        while !bytes.is_empty() {
-            match self.socket.inner().write(bytes) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => bytes = &bytes[count..],
+        bytes: &[u8],
+        check: impl Fn() -> Result<(), E>,
+    ) -> Result<(), WriteError<E>> {
+        let mut written = 0;
+        while written < bytes.len() {
+            check().map_err(|reason| WriteError::Refused { reason, written })?;
+            match self.socket.inner().write(&bytes[written..]) {
+                Ok(0) => return Err(WriteError::Socket(ErrorKind::WriteZero.into())),
+                Ok(count) => written += count,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock && keep_waiting() => {
-                    self.wait()
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    return Err(ErrorKind::TimedOut.into())
-                }
-                Err(error) => return Err(error),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.wait(),
+                Err(error) => return Err(WriteError::Socket(error)),
             }
         }
         Ok(())
     }
+
+    /// Writes all bytes, or as many as the socket takes until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// The errors of the socket, and `TimedOut` at the deadline.
+    pub(crate) fn write_until(
+        &mut self,
+        bytes: &[u8],
+        clock: Clock,
+        deadline: Micros,
+    ) -> io::Result<()> {
+        let check = || {
+            if clock.now() < deadline {
+                Ok(())
+            } else {
+                Err(ErrorKind::TimedOut)
+            }
+        };
+        self.write_all(bytes, check).map_err(|error| match error {
+            WriteError::Refused { reason, .. } => reason.into(),
+            WriteError::Socket(error) => error,
+        })
+    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -439,6 +439,9 @@
         member: MemberId,
         /// How long to wait for its answer, microseconds.
         timeout: Micros,
+        /// How long the attempt may wait until it is sent, microseconds, at most `timeout`. Past that it must be ended
+        /// as not sent.
+        send_within: Micros,
     },
     /// Cancel an attempt.
     CancelAttempt {
@@ -471,6 +474,27 @@
     SetTimer(Micros),
 }
 
+/// The rule that forbids to send an attempt to its member now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SendRefusal {
+    /// The request has its final answer or its client has gone, or the attempt has ended.
+    #[error("the request or the attempt has ended")]
+    RequestEnded,
+    /// An answer would have no value any more.
+    #[error("the deadline has passed")]
+    DeadlinePassed,
+    /// The member drains or is no longer known.
+    #[error("the member drains")]
+    MemberDraining,
+    /// An earlier attempt may have run, and the member would not recognize this one as its repeat: the window for that
+    /// has passed, or the request has no idempotency key that the member knows.
+    #[error("an earlier attempt may have run, and a repeat is no longer recognized")]
+    RepeatForbidden,
+    /// The member does not check reads, and is not known to have the data that this read must see.
+    #[error("the member's data is too old")]
+    StaleData,
+}
+
 /// Settings that contradict themselves, with the keys of the settings file to correct.
 #[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
 pub enum SettingsError {
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -14,12 +14,14 @@
 const MIN_EXPECTED_BATCHES: Micros = 2;
 
 impl Router {
-    /// The latest time at which it is useful to dispatch a request.
+    /// The latest time at which it is useful, and allowed by its earlier attempts, to dispatch a request.
     pub(super) fn latest_dispatch(&self, request: &Request) -> Micros {
         let class = request.class();
         let expected = (self.classes.mean_latency(class) * EXPECTED_LATENCY_SHARE) as Micros;
         let least = MIN_EXPECTED_BATCHES * self.settings.batch_period;
-        request.latest_dispatch(&self.settings.classes[class], expected.max(least))
+        request
+            .latest_dispatch(&self.settings.classes[class], expected.max(least))
+            .min(request.repeatable_until(None))
     }
 
     /// Gives the final answer of a request that is not served.
--- a/src/policy/consistency.rs
+++ b/src/policy/consistency.rs
@@ -21,8 +21,6 @@
 const POLL_LAG_DIVISOR: Micros = 4;
 /// The most doublings of the poll interval for a member that does not answer.
 const MAX_POLL_BACKOFF_DOUBLINGS: u32 = 6;
-/// Time reserved for writing a request to its socket, microseconds: the staleness bound counts from the last byte.
-const SOCKET_WRITE_MARGIN: Micros = 2_000;
 
 impl Router {
     /// Whether a replica is known or assumed to have applied what a read must see. `without_primary` says that its
@@ -59,28 +57,6 @@
         !without_primary && (!lag_holds || member.applied_position.saturating_add(age) >= required)
     }
 
-    /// Whether an attempt that was dispatched earlier may still be sent. While its connection is opened, the replica's
-    /// data ages and the member may start to drain. A caller that sends without delay need not check.
-    pub fn may_send(&self, now: Micros, id: RequestId, to: MemberId) -> bool {
-        let Some((request, member)) = self.requests.get(&id).zip(self.topology.member(to)) else {
-            return false;
-        };
-        !request.answered
-            && !member.must_drain(self.settings.drain_signal)
-            && self.is_fresh_enough(now, request, member)
-    }
-
-    fn is_fresh_enough(&self, now: Micros, request: &Request, member: &Member) -> bool {
-        if !self.is_bounded_without_checks(request) {
-            return true;
-        }
-        let bound = self.settings.staleness_bounds[request.class()];
-        let oldest = now.saturating_sub(bound.saturating_sub(SOCKET_WRITE_MARGIN));
-        let group = self.topology.group(member.group);
-        let is_primary = group.is_some_and(|group| group.known_primary == Some(member.id));
-        is_primary || member.applied_position >= oldest
-    }
-
     fn is_bounded_without_checks(&self, request: &Request) -> bool {
         request.consistency == ConsistencyLevel::BoundedStaleness
             && self.settings.replica_checks == ReplicaChecks::None
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -1,46 +1,26 @@
 //! Dispatch: whether the rules allow a request to be dispatched to a member, and the bookkeeping of a dispatch.
 //!
-//! A request has one attempt in flight, unless the settings allow parallel ones. A request that may have run is
-//! dispatched only to members where running it again has no further effect. Nothing is dispatched to a member that
-//! drains, during a retry backoff, or beyond the slow-start tokens of a member that is warming up.
+//! A request has one attempt in flight, unless the settings allow parallel ones. Nothing is dispatched against the rules
+//! on drains and repeats, which [`super::send_rules`] judges and judges again at the send, during a retry backoff, or
+//! beyond the slow-start tokens of a member that is warming up.
 
 use super::member::Member;
-use super::requests::{Attempt, Request};
+use super::requests::Request;
 use super::slow_start::TokenBucket;
 use super::Router;
-use crate::interface::{Action, DeduplicationScope, Idempotency, MemberId, RequestId};
+use crate::interface::{Action, MemberId, RequestId};
 
 impl Router {
     /// Whether the rules on repeats, drains, backoff and slow start allow a request to be dispatched to a member.
     pub(super) fn may_dispatch(&self, request: &Request, member: &Member) -> bool {
         let is_second = request.has_attempt_in_flight() && !self.settings.parallel.granted();
         let backs_off = self.now < request.backoff_until;
-        if is_second || backs_off || member.must_drain(self.settings.drain_signal) {
+        if is_second || backs_off {
             return false;
         }
-        self.has_slow_start_tokens(request, member) && self.may_repeat(request, member)
-    }
-
-    /// Whether a member may run a request, given the attempts that may have run already.
-    fn may_repeat(&self, request: &Request, member: &Member) -> bool {
-        match (request.first_may_have_run(), request.idempotency) {
-            (None, _) | (_, Idempotency::Idempotent) => true,
-            (Some(_), Idempotency::NonIdempotent) => false,
-            (Some(first), Idempotency::IdempotencyKey { scope, window }) => {
-                self.shares_deduplication(scope, first, member)
-                    && self.now < first.dispatched_at.saturating_add(window)
-            }
-        }
-    }
-
-    fn shares_deduplication(
-        &self,
-        scope: DeduplicationScope,
-        first: &Attempt,
-        member: &Member,
-    ) -> bool {
-        let first_zone = self.topology.member(first.member).map(|first| first.zone);
-        scope != DeduplicationScope::Zone || Some(member.zone) == first_zone
+        self.check_drain_and_repeat(self.now, request, member, None)
+            .is_ok()
+            && self.has_slow_start_tokens(request, member)
     }
 
     /// Dispatches a request if a member can be selected for it now. Returns whether it was dispatched.
@@ -63,14 +43,17 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
+        let repeatable_until = request.repeatable_until(None);
         request.record_dispatch(to, now);
         let class = request.class();
         let useful_until = request.useful_until(&self.settings.classes[class]);
+        let timeout = useful_until.saturating_sub(now).max(1);
         self.record_dispatch(class, to);
         self.actions.push(Action::Dispatch {
             request: id,
             member: to,
-            timeout: useful_until.saturating_sub(now).max(1),
+            timeout,
+            send_within: timeout.min(repeatable_until.saturating_sub(now)),
         });
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,7 +9,8 @@
 //! - `primary`, `role_arbitration`: which member is the known primary, and which role report is current.
 //! - `admission`, `load_shedding`, `queues`: whether an arrival is dispatched, queued or rejected.
 //! - `selection`, `consistency`: which member gets a request, and which replicas have what it must see.
-//! - `dispatch`: whether the rules allow a dispatch to a member, and the bookkeeping of a dispatch.
+//! - `dispatch`: whether a request may be dispatched to a member, and the bookkeeping of a dispatch.
+//! - `send_rules`: the rules on a send, judged at the dispatch and again when bytes are written.
 //! - `slow_start`, `limits`: how many requests a member gets while it warms up, and how many attempts at once.
 //! - `retries`, `completion`: what follows an attempt, and the final answer.
 //!
@@ -37,6 +38,7 @@
 mod retries;
 mod role_arbitration;
 mod selection;
+mod send_rules;
 mod sessions;
 pub mod slow_start;
 mod timers;
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -37,6 +37,8 @@
     pub dispatched_at: Micros,
     pub in_flight: bool,
     pub may_have_run: bool,
+    /// When its first byte was permitted to be written; `None` before, and where the caller does not ask.
+    pub sent_at: Option<Micros>,
 }
 
 impl Request {
@@ -90,9 +92,24 @@
         self.attempts.iter().any(|attempt| attempt.member == member)
     }
 
-    /// The first attempt that may have had an effect.
-    pub(super) fn first_may_have_run(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|attempt| attempt.may_have_run)
+    /// The first attempt, other than the one with number `own`, that may have had an effect.
+    pub(super) fn first_may_have_run(&self, own: Option<usize>) -> Option<&Attempt> {
+        let mut attempts = self.attempts.iter().enumerate();
+        attempts
+            .find(|(number, attempt)| Some(*number) != own && attempt.may_have_run)
+            .map(|(_, attempt)| attempt)
+    }
+
+    /// The time until which its attempts, other than the one with number `own`, allow another send.
+    pub(super) fn repeatable_until(&self, own: Option<usize>) -> Micros {
+        match (self.first_may_have_run(own), self.idempotency) {
+            (None, _) | (_, Idempotency::Idempotent) => Micros::MAX,
+            (Some(_), Idempotency::NonIdempotent) => 0,
+            (Some(first), Idempotency::IdempotencyKey { window, .. }) => first
+                .sent_at
+                .unwrap_or(first.dispatched_at)
+                .saturating_add(window),
+        }
     }
 
     /// Adds an attempt; until it ends it may have run.
@@ -103,6 +120,7 @@
             dispatched_at,
             in_flight: true,
             may_have_run: true,
+            sent_at: None,
         });
     }
 
@@ -116,7 +134,7 @@
                     ..
                 }
         );
-        repeatable || self.first_may_have_run().is_none()
+        repeatable || self.first_may_have_run(None).is_none()
     }
 
     /// The time until which an answer has its full weight.
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -10,8 +10,8 @@
 use super::role_arbitration::RoleSource;
 use super::Router;
 use crate::interface::{
-    Action, AnswerStatus, AttemptEnded, ConsistencyLevel, GroupId, Idempotency, MemberId, Micros,
-    Outcome, SessionId,
+    Action, AnswerStatus, AttemptEnded, ConsistencyLevel, GroupId, MemberId, Micros, Outcome,
+    SessionId,
 };
 
 /// Retries that each arrival adds to the budget: a tenth can't sustain a retry storm.
@@ -185,12 +185,7 @@
 
     fn may_retry(&self, request: &Request) -> bool {
         let has_attempts_left = request.attempts.len() < self.settings.max_attempts as usize;
-        let may_run_again = request.idempotency != Idempotency::NonIdempotent
-            || request.first_may_have_run().is_none();
-        has_attempts_left
-            && !request.streaming
-            && may_run_again
-            && self.now < self.latest_dispatch(request)
+        has_attempts_left && !request.streaming && self.now < self.latest_dispatch(request)
     }
 
     /// What a retry takes from the budget: nothing after an attempt that cost next to nothing.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -172,6 +172,16 @@
         actions
     }
 
+    /// Whether bytes of an attempt may be written now.
+    pub(crate) fn permit_send(
+        &mut self,
+        request: RequestId,
+        attempt: u32,
+    ) -> Result<(), SendRefusal> {
+        self.router
+            .permit_send(self.now, request, AttemptNo(attempt))
+    }
+
     /// A successful health check that reports this role and the current time as position.
     pub(crate) fn report_role(&mut self, m: u32, role: Role) -> Vec<Action> {
         self.report_lag(m, role, 0)
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -7,4 +7,5 @@
 mod primary;
 mod requests;
 mod selection;
+mod sends;
 mod slow_start;
--- a/tests/failures/selection.rs
+++ b/tests/failures/selection.rs
@@ -26,26 +26,34 @@
     let (read, actions) = gateway.arrive(BOUNDED);
     let to = dispatches(&actions)[0].1;
     assert_ne!(to, 0, "a replica in sync is selected");
-    let member = MemberId(to);
-    assert!(gateway.router.may_send(gateway.now, read, member));
+    let dispatched_at = gateway.now;
+    assert_eq!(gateway.permit_send(read, 0), Ok(()));
     // The bound is 300 ms and counts from the last byte: a replica in sync at the dispatch may be too old by then.
-    assert!(gateway
-        .router
-        .may_send(gateway.now + 290 * MS, read, member));
-    assert!(!gateway
-        .router
-        .may_send(gateway.now + 299 * MS, read, member));
-    assert!(!gateway
-        .router
-        .may_send(gateway.now + 301 * MS, read, member));
-    // The known primary has all commits, and an eventual read may get data of any age.
-    assert!(gateway
-        .router
-        .may_send(gateway.now + 301 * MS, read, MemberId(0)));
-    let (any, _) = gateway.arrive(EVENTUAL);
-    assert!(gateway.router.may_send(gateway.now + 301 * MS, any, member));
+    gateway.now = dispatched_at + 290 * MS;
+    assert_eq!(gateway.permit_send(read, 0), Ok(()));
+    for late in [299 * MS, 301 * MS] {
+        gateway.now = dispatched_at + late;
+        assert_eq!(gateway.permit_send(read, 0), Err(SendRefusal::StaleData));
+    }
+    // An eventual read may get data of any age.
+    gateway.now = dispatched_at;
+    let (any, actions) = gateway.arrive(EVENTUAL);
+    let to = dispatches(&actions)[0].1;
+    gateway.now = dispatched_at + 301 * MS;
+    assert_eq!(gateway.permit_send(any, 0), Ok(()));
     gateway.update_endpoint(to, EndpointState::Draining, 0);
-    assert!(!gateway.router.may_send(gateway.now, any, member));
+    assert_eq!(
+        gateway.permit_send(any, 0),
+        Err(SendRefusal::MemberDraining)
+    );
+    // The known primary has all commits.
+    let mut settings = super::common::settings();
+    settings.replica_checks = ReplicaChecks::None;
+    let mut gateway = TestGateway::ready(settings, 1);
+    let (read, actions) = gateway.arrive(BOUNDED);
+    assert_eq!(dispatches(&actions), [(read, 0)]);
+    gateway.now += 301 * MS;
+    assert_eq!(gateway.permit_send(read, 0), Ok(()));
 }
 
 /// A gateway that concentrates eventual reads on member 2, which lags. One of them stays in flight if `one_in_flight`;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -313,16 +313,20 @@
         let mut gateway = TestGateway::ready(settings(), 3);
         let (write, actions) = gateway.arrive(WRITE);
         let (_, to) = dispatches(&actions)[0];
-        assert!(gateway.router.may_send(gateway.now, write, MemberId(to)));
+        assert_eq!(gateway.permit_send(write, 0), Ok(()));
         gateway.update_endpoint(to, ending, 0);
-        assert!(
-            !gateway.router.may_send(gateway.now, write, MemberId(to)),
+        assert_eq!(
+            gateway.permit_send(write, 0),
+            Err(SendRefusal::MemberDraining),
             "{ending:?}"
         );
     }
     let mut gateway = TestGateway::ready(settings(), 3);
     let (write, actions) = gateway.arrive(WRITE);
-    let (_, to) = dispatches(&actions)[0];
+    assert_eq!(dispatches(&actions).len(), 1);
     gateway.event(Event::ClientGone(write));
-    assert!(!gateway.router.may_send(gateway.now, write, MemberId(to)));
+    assert_eq!(
+        gateway.permit_send(write, 0),
+        Err(SendRefusal::RequestEnded)
+    );
 }
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -3,7 +3,7 @@
 
 use asterreel_testbench::{bounded, database};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender};
@@ -169,7 +169,7 @@
     }
 
     /// Blocks while the gate is closed.
-    fn wait_until_open(&self) {
+    pub(crate) fn wait_until_open(&self) {
         let closed = self.0 .0.lock().expect("not poisoned");
         drop(
             self.0
@@ -189,6 +189,9 @@
     pub primary: Arc<AtomicBool>,
     /// Delays answers to statements other than load reports while closed.
     pub gate: Gate,
+    /// Delays the startup of new connections while closed.
+    pub startups: Gate,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
     /// The answer to a statement that replaces the usual one; the connection stays open.
     pub override_answer: fn(&[u8]) -> Option<Vec<u8>>,
 }
@@ -209,17 +212,41 @@
             address,
             primary,
             gate: Gate::new(open),
+            startups: Gate::new(true),
+            connections: Arc::default(),
             override_answer,
         };
         let (server, statements) = (database.clone(), statements.clone());
         thread::spawn(move || {
-            database::serve(&listener, move |statement| {
-                server.reply(statement, &statements)
-            })
+            for client in listener.incoming().flatten() {
+                let (server, statements) = (server.clone(), statements.clone());
+                thread::spawn(move || server.serve(client, &statements));
+            }
         });
         database
     }
 
+    fn serve(&self, client: TcpStream, statements: &Sender<Vec<u8>>) -> std::io::Result<()> {
+        let connection = client.try_clone()?;
+        self.connections
+            .lock()
+            .expect("not poisoned")
+            .push(client.try_clone()?);
+        self.startups.wait_until_open();
+        let ended = database::session(client, |statement| self.reply(statement, statements));
+        // The clone in `connections` would keep the connection open.
+        let _ = connection.shutdown(Shutdown::Both);
+        ended
+    }
+
+    /// Ends all connections.
+    pub(crate) fn disconnect_all(&self) {
+        let mut connections = self.connections.lock().expect("not poisoned");
+        for connection in connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     fn reply(&self, statement: &[u8], statements: &Sender<Vec<u8>>) -> database::Reply {
         let report_requested = statement == b"SHOW usage";
         if !report_requested {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -208,6 +208,7 @@
                     request: id,
                     member: MemberId(m),
                     timeout,
+                    ..
                 } => {
                     let seen = self.requests.get_mut(&id).expect("a known request");
                     assert!(!seen.done, "dispatched after the final answer");
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -10,6 +10,7 @@
 use common::MS;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRunner};
+use std::collections::BTreeMap;
 use world::World;
 
 fn class() -> impl Strategy<Value = (Class, ConsistencyLevel, Micros)> {
@@ -19,7 +20,7 @@
             Just(DeduplicationScope::Zone),
             Just(DeduplicationScope::Group)
         ],
-        500..6_000_u64,
+        prop_oneof![50..500_u64, 500..6_000_u64],
     )
         .prop_map(|(scope, ms)| Idempotency::IdempotencyKey {
             scope,
@@ -136,8 +137,8 @@
     })
 }
 
-#[test]
-fn rules_hold_for_random_settings() {
+/// Runs a world for each of many random settings; returns the number of cases, and the worlds after their runs.
+fn run_worlds(new_world: impl Fn(Settings, u64) -> World) -> (u32, Vec<World>) {
     let cases = std::env::var("SETTINGS_CASES")
         .ok()
         .and_then(|cases| cases.parse().ok())
@@ -149,17 +150,55 @@
     };
     let rng = proptest::test_runner::TestRng::deterministic_rng(config.rng_algorithm);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let served = std::cell::Cell::new(0);
+    let worlds = std::cell::RefCell::new(Vec::new());
     let result = runner.run(&(settings(), any::<u64>()), |(settings, seed)| {
-        let mut world = World::new(settings, seed);
+        let mut world = new_world(settings, seed);
         let checked = world.run();
-        served.set(served.get() + world.served);
-        checked.map_err(|broken| TestCaseError::fail(format!("{broken}; after {:#?}", world.trace)))
+        let trace = format!("{:#?}", world.trace);
+        worlds.borrow_mut().push(world);
+        checked.map_err(|broken| TestCaseError::fail(format!("{broken}; after {trace}")))
     });
     result.unwrap_or_else(|broken| panic!("{broken}"));
+    (cases, worlds.into_inner())
+}
+
+fn served(worlds: &[World]) -> u32 {
+    worlds.iter().map(|world| world.served).sum()
+}
+
+#[test]
+fn rules_hold_for_random_settings() {
+    let (cases, worlds) = run_worlds(World::new);
+    let served = served(&worlds);
     assert!(
-        served.get() > 100 * cases,
-        "{} requests served in {cases} cases",
-        served.get()
+        served > 100 * cases,
+        "{served} requests served in {cases} cases"
     );
 }
+
+/// What an attempt was allowed to do when it was decided was not looked at again when its connection was ready: repeats were
+/// sent after their window.
+#[test]
+fn rules_hold_at_the_send_for_random_waits() {
+    let (cases, worlds) =
+        run_worlds(|settings, seed| World::new(settings, seed).with_send_waits(400 * MS));
+    let served = served(&worlds);
+    assert!(
+        served > 100 * cases,
+        "{served} requests served in {cases} cases"
+    );
+    let mut refusals = BTreeMap::<&str, u32>::new();
+    for (reason, count) in worlds.iter().flat_map(|world| &world.refusals) {
+        *refusals.entry(reason).or_default() += count;
+    }
+    // Each of these waits was met by what it may be overtaken by.
+    let reasons = [
+        "RequestEnded",
+        "MemberDraining",
+        "RepeatForbidden",
+        "StaleData",
+    ];
+    for reason in reasons {
+        assert!(refusals.contains_key(reason), "{refusals:?}");
+    }
+}
--- a/tests/settings/world.rs
+++ b/tests/settings/world.rs
@@ -31,6 +31,8 @@
 struct Attempt {
     member: u32,
     dispatched_at: Micros,
+    /// When its statement was written; `None` while it waits for its connection.
+    sent_at: Option<Micros>,
     in_flight: bool,
     may_have_run: bool,
 }
@@ -53,7 +55,12 @@
     Arrive,
     Fault,
     Wake,
+    /// The connection of an attempt is ready.
+    Send(u64, usize),
+    /// An attempt may not wait for its connection any longer.
+    GiveUp(u64, usize),
     End(u64, usize),
+    Leave(u64),
     Report(u32),
     WatchUpdate,
 }
@@ -70,7 +77,11 @@
     /// Orders events of the same time; also the source of request identifiers.
     number: u64,
     cancelled: Vec<(u64, usize)>,
+    /// The longest time for which an attempt waits for its connection; 0 if attempts are sent at once, without asking.
+    max_send_wait: Micros,
     pub served: u32,
+    /// How many sends the router refused, by reason.
+    pub refusals: BTreeMap<String, u32>,
     /// The last commit that was answered, by session.
     commits: BTreeMap<u64, Micros>,
     /// Calls to discovery that the router still has to make.
@@ -121,13 +132,21 @@
             events: BinaryHeap::new(),
             number: 0,
             cancelled: Vec::new(),
+            max_send_wait: 0,
             served: 0,
+            refusals: BTreeMap::new(),
             commits: BTreeMap::new(),
             calls_due: 0,
             trace: VecDeque::new(),
         }
     }
 
+    /// Lets attempts wait for their connections, up to this long, and clients leave.
+    pub(crate) fn with_send_waits(mut self, longest: Micros) -> World {
+        self.max_send_wait = longest;
+        self
+    }
+
     fn schedule(&mut self, after: Micros, next: SimEvent) {
         self.number += 1;
         self.events
@@ -196,7 +215,8 @@
                 request,
                 member: to,
                 timeout,
-            } => self.dispatch(request.0, to.0, timeout),
+                send_within,
+            } => self.dispatch(request.0, to.0, timeout, send_within),
             Action::Reject {
                 request,
                 retry_after,
@@ -283,16 +303,24 @@
         }
     }
 
-    fn dispatch(&mut self, request: u64, to: u32, timeout: Micros) -> RuleCheck {
+    fn dispatch(
+        &mut self,
+        request: u64,
+        to: u32,
+        timeout: Micros,
+        send_within: Micros,
+    ) -> RuleCheck {
         self.check_not_draining(to)?;
         let (now, settings) = (self.now, &self.settings);
         let member = &self.members[&to];
-        let position = self.position(member);
         let Some(open) = self.open.get_mut(&request).filter(|open| !open.answered) else {
             return Err(format!("request {request} is dispatched but not open"));
         };
-        let class = &settings.classes[open.class];
-        if member.group != open.group || now + timeout > open.due || timeout == 0 {
+        if member.group != open.group
+            || now + timeout > open.due
+            || timeout == 0
+            || send_within > timeout
+        {
             return Err(format!(
                 "request {request} is dispatched to another group, or with a time-out that is 0 or too long"
             ));
@@ -303,25 +331,61 @@
         if open.attempts.iter().any(|attempt| attempt.in_flight) {
             return Err(format!("request {request} has two attempts in flight"));
         }
-        let first = open.attempts.iter().find(|attempt| attempt.may_have_run);
-        match (first, class.idempotency) {
-            (None, _) | (_, Idempotency::Idempotent) => {}
+        self.check_repeat(request, to, None)?;
+        self.check_data(request, to)?;
+        let open = self.open.get_mut(&request).expect("an open request");
+        let at = open.attempts.len();
+        open.attempts.push(Attempt {
+            member: to,
+            dispatched_at: now,
+            sent_at: None,
+            in_flight: true,
+            may_have_run: true,
+        });
+        if self.max_send_wait == 0 {
+            return self.send(request, at, timeout);
+        }
+        let wait = self.rng.u64(1..=self.max_send_wait);
+        // A caller that was held up asks late, and must be refused then.
+        let asks_late = self.rng.bool() && wait < timeout;
+        if wait < send_within || asks_late {
+            self.schedule(wait, SimEvent::Send(request, at));
+        } else {
+            self.schedule(send_within, SimEvent::GiveUp(request, at));
+        }
+        Ok(())
+    }
+
+    /// Checks that a request which may have run is sent only where that has no further effect.
+    fn check_repeat(&self, request: u64, to: u32, own: Option<usize>) -> RuleCheck {
+        let (open, member) = (&self.open[&request], &self.members[&to]);
+        let mut earlier = open.attempts.iter().enumerate();
+        let first = earlier.find(|(at, attempt)| Some(*at) != own && attempt.may_have_run);
+        match (first, self.settings.classes[open.class].idempotency) {
+            (None, _) | (_, Idempotency::Idempotent) => Ok(()),
             (Some(_), Idempotency::NonIdempotent) => {
-                return Err(format!(
-                    "request {request} may have run and is dispatched again"
-                ))
+                Err(format!("request {request} may have run and is sent again"))
             }
-            (Some(earlier), Idempotency::IdempotencyKey { scope, window }) => {
-                let zone = self.members[&earlier.member].zone;
-                if now >= earlier.dispatched_at + window
+            (Some((_, first)), Idempotency::IdempotencyKey { scope, window }) => {
+                let sent_at = first.sent_at.unwrap_or(first.dispatched_at);
+                let zone = self.members[&first.member].zone;
+                if self.now >= sent_at + window
                     || scope == DeduplicationScope::Zone && zone != member.zone
                 {
                     return Err(format!(
                         "request {request} is repeated where its idempotency key is no longer known"
                     ));
                 }
+                Ok(())
             }
         }
+    }
+
+    /// Checks that a read gets data that is recent enough.
+    fn check_data(&self, request: u64, to: u32) -> RuleCheck {
+        let (now, settings) = (self.now, &self.settings);
+        let (open, member) = (&self.open[&request], &self.members[&to]);
+        let position = self.position(member);
         // Members that check reads reject stale ones themselves; others answer from the data they have.
         let consistency = settings.consistency_levels[open.class];
         let must_see = match consistency {
@@ -341,13 +405,14 @@
                 now - position
             ));
         }
-        let at = open.attempts.len();
-        open.attempts.push(Attempt {
-            member: to,
-            dispatched_at: now,
-            in_flight: true,
-            may_have_run: true,
-        });
+        Ok(())
+    }
+
+    /// Sends an attempt; it ends after `timeout` at the latest.
+    fn send(&mut self, request: u64, at: usize, timeout: Micros) -> RuleCheck {
+        let open = self.open.get_mut(&request).expect("an open request");
+        open.attempts[at].sent_at = Some(self.now);
+        let member = &self.members[&open.attempts[at].member];
         let took = self.rng.f64() * 2.0 * member.work as f64 + 1.0;
         let after = if member.alive {
             (took as Micros).min(timeout)
@@ -358,6 +423,91 @@
         Ok(())
     }
 
+    fn is_waiting_to_send(&self, request: u64, at: usize) -> bool {
+        let open = self.open.get(&request);
+        let attempt = open.and_then(|open| open.attempts.get(at));
+        attempt.is_some_and(|attempt| attempt.in_flight && attempt.sent_at.is_none())
+    }
+
+    /// Asks whether an attempt may be sent now, and checks both the permission and the refusal against the rules.
+    fn connection_ready(&mut self, request: u64, at: usize) -> RuleCheck {
+        if !self.is_waiting_to_send(request, at) {
+            return Ok(());
+        }
+        let attempt = AttemptNo(at as u32);
+        let permitted = self
+            .router
+            .permit_send(self.now, RequestId(request), attempt);
+        self.trace.push_back(format!(
+            "{} send {request} {at}: {permitted:?}",
+            self.now - START
+        ));
+        let open = &self.open[&request];
+        let (due, is_answered, to) = (open.due, open.answered, open.attempts[at].member);
+        let is_ended = is_answered || self.cancelled.contains(&(request, at));
+        match permitted {
+            Ok(()) => {
+                self.check_not_draining(to)?;
+                self.check_repeat(request, to, Some(at))?;
+                self.check_data(request, to)?;
+                if is_ended || self.now >= due {
+                    return Err(format!("request {request} is sent after its end"));
+                }
+                return self.send(request, at, due - self.now);
+            }
+            Err(SendRefusal::RequestEnded) if !is_ended => {
+                return Err(format!("request {request} is open and counts as ended"));
+            }
+            Err(SendRefusal::MemberDraining) if self.check_not_draining(to).is_ok() => {
+                return Err(format!("member {to} is ready and counts as draining"));
+            }
+            Err(SendRefusal::RepeatForbidden)
+                if self.check_repeat(request, to, Some(at)).is_ok() =>
+            {
+                return Err(format!("request {request} may be repeated and is refused"));
+            }
+            Err(refusal) => {
+                *self.refusals.entry(format!("{refusal:?}")).or_default() += 1;
+            }
+        }
+        self.end_unsent(request, at)
+    }
+
+    /// Ends an attempt that was not sent.
+    fn end_unsent(&mut self, request: u64, at: usize) -> RuleCheck {
+        if !self.is_waiting_to_send(request, at) {
+            return Ok(());
+        }
+        let now = self.now;
+        let open = self.open.get_mut(&request).expect("an open request");
+        let attempt = &mut open.attempts[at];
+        (attempt.in_flight, attempt.may_have_run) = (false, false);
+        let latency = now - attempt.dispatched_at;
+        let answer = if open.answered {
+            AnswerStatus::Finished
+        } else {
+            AnswerStatus::Pending
+        };
+        self.handle(Event::AttemptEnded(AttemptEnded {
+            request: RequestId(request),
+            attempt: AttemptNo(at as u32),
+            outcome: Outcome::NotSent,
+            latency,
+            answer_report: MemberReport::default(),
+            load_report: MemberReport::default(),
+            answer,
+        }))
+    }
+
+    /// The client of a request leaves.
+    fn leave(&mut self, request: u64) -> RuleCheck {
+        let Some(open) = self.open.get_mut(&request).filter(|open| !open.answered) else {
+            return Ok(());
+        };
+        open.answered = true;
+        self.handle(Event::ClientGone(RequestId(request)))
+    }
+
     /// Whether a member rejects a request of this class for its role or its lag.
     fn misroutes(&self, class: usize, member: &Member, primary: bool) -> bool {
         let checked = self.settings.replica_checks == ReplicaChecks::RejectStale;
@@ -387,6 +537,8 @@
             0 => Outcome::Error,
             1 => Outcome::Rejected,
             2 => Outcome::Reset,
+            // Repeats need attempts that may have run.
+            4..=8 if self.max_send_wait > 0 => Outcome::Reset,
             3 => Outcome::InvalidRequest,
             _ => Outcome::Served,
         }
@@ -394,6 +546,9 @@
 
     /// Ends an attempt, with a random outcome unless the member's state decides it.
     fn end_attempt(&mut self, request: u64, at: usize) -> RuleCheck {
+        if self.is_waiting_to_send(request, at) {
+            return self.end_unsent(request, at);
+        }
         let Some(open) = self.open.get(&request) else {
             return Ok(());
         };
@@ -483,6 +638,10 @@
             .copied();
         let since_write = wrote.filter(|_| from_client).map(|at| self.now - at);
         let token = wrote.unwrap_or(0);
+        if self.max_send_wait > 0 && self.rng.u8(0..20) == 0 {
+            let after = self.rng.u64(1..400 * MS);
+            self.schedule(after, SimEvent::Leave(request));
+        }
         let (received, attempts, answered) = (self.now, Vec::new(), false);
         self.open.insert(
             request,
@@ -618,7 +777,10 @@
                 }
                 SimEvent::Arrive | SimEvent::Fault => {}
                 SimEvent::Wake => self.handle(Event::TimerFired)?,
+                SimEvent::Send(request, attempt) => self.connection_ready(request, attempt)?,
+                SimEvent::GiveUp(request, attempt) => self.end_unsent(request, attempt)?,
                 SimEvent::End(request, attempt) => self.end_attempt(request, attempt)?,
+                SimEvent::Leave(request) => self.leave(request)?,
                 SimEvent::Report(id) => {
                     let outcome = if self.members[&id].alive {
                         Outcome::Served
