Judge role and session position again before each write of an attempt

What callers could see: a write or strong read whose connection came up late was sent to a member that had shown to be a replica meanwhile (a strong read answered from old data where members don't check reads); a session read that had been meant for the primary was answered by the former primary, without the session's write.

Role and required position were judged in selection alone; the check after the wait for the connection knew bounded reads only.

Change: send_rules refuses a send that needs the primary once another member is the known primary, or once a report has shown the member to be a replica since the dispatch; session reads are held against the member's position as bounded ones are. A member that was demoted because its checks failed, or that is tried in a search for the primary, still gets what is on its way.

Evidence: with the two judgements left out, write_is_not_sent_to_a_former_primary and session_read_is_not_sent_to_a_former_primary_that_lags fail, as on the code before; write_is_sent_to_a_primary_that_failed_meanwhile passes both ways. tests/failures 39, settings 2, rules, mechanism, golden_simulator: all pass.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -490,6 +490,9 @@
     /// has passed, or the request has no idempotency key that the member knows.
     #[error("an earlier attempt may have run, and a repeat is no longer recognized")]
     RepeatForbidden,
+    /// The request needs the primary, and the member is not the primary any more.
+    #[error("the member is no longer the primary")]
+    NotPrimary,
     /// The member does not check reads, and is not known to have the data that this read must see.
     #[error("the member's data is too old")]
     StaleData,
--- a/src/policy/member.rs
+++ b/src/policy/member.rs
@@ -41,6 +41,8 @@
     pub failed_checks: u32,
     pub checked_at: Micros,
     pub roles: RoleArbitration,
+    /// When a current report last showed that the member is a replica.
+    pub reported_replica_at: Micros,
     /// When the next half-open trial is due.
     pub next_trial_at: Micros,
     /// When the member was last demoted, or last tried in a search for the primary.
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -44,7 +44,10 @@
         }
         match member.roles.observe(report.role, requested_at, source, now) {
             Some(Role::Primary) => self.promote(id),
-            Some(Role::Replica) => self.demote(id),
+            Some(Role::Replica) => {
+                member.reported_replica_at = now;
+                self.demote(id);
+            }
             None => {}
         }
     }
--- a/src/policy/send_rules.rs
+++ b/src/policy/send_rules.rs
@@ -2,12 +2,12 @@
 //!
 //! Between its dispatch and the write of its last byte an attempt waits for a connection, for that connection's startup,
 //! and for room in the socket's buffer. Meanwhile the client may leave, the deadline or the window of repeats may pass,
-//! the member may drain, and a replica's data ages. Invariant: no byte of an attempt is written at a
+//! the member may drain or lose its role, and a replica's data ages. Invariant: no byte of an attempt is written at a
 //! time at which these rules forbid the send. What an attempt costs (slow start, concurrency limits, the retry budget)
 //! is decided by [`super::dispatch`] alone.
 
 use super::member::Member;
-use super::requests::Request;
+use super::requests::{Attempt, Request};
 use super::Router;
 use crate::interface::{
     AttemptNo, ConsistencyLevel, DeduplicationScope, Idempotency, Micros, ReplicaChecks, RequestId,
@@ -46,11 +46,15 @@
         if now >= request.useful_until(&self.settings.classes[request.class()]) {
             return Err(SendRefusal::DeadlinePassed);
         }
+        let attempt = &request.attempts[number];
         let member = self
             .topology
-            .member(request.attempts[number].member)
+            .member(attempt.member)
             .ok_or(SendRefusal::MemberDraining)?;
         self.check_drain_and_repeat(now, request, member, Some(number))?;
+        if !self.is_role_current(request, attempt, member) {
+            return Err(SendRefusal::NotPrimary);
+        }
         if !self.has_required_data(now, request, member) {
             return Err(SendRefusal::StaleData);
         }
@@ -86,6 +90,19 @@
         scope != DeduplicationScope::Zone || Some(member.zone) == first_zone
     }
 
+    /// Whether a request that needs the primary may still go to a member. A member that was tried in a search for the
+    /// primary, or was demoted only because it failed, may be the primary until a report says otherwise.
+    fn is_role_current(&self, request: &Request, attempt: &Attempt, member: &Member) -> bool {
+        if request.may_use_replica() {
+            return true;
+        }
+        let group = self.topology.group(member.group);
+        match group.and_then(|group| group.known_primary) {
+            Some(primary) => primary == member.id,
+            None => member.reported_replica_at <= attempt.dispatched_at,
+        }
+    }
+
     /// Whether a member that does not check reads itself has the data that a read must see.
     fn has_required_data(&self, now: Micros, request: &Request, member: &Member) -> bool {
         if self.settings.replica_checks == ReplicaChecks::RejectStale {
@@ -96,7 +113,8 @@
                 let bound = self.settings.staleness_bounds[request.class()];
                 now.saturating_sub(bound.saturating_sub(SOCKET_WRITE_MARGIN))
             }
-            _ => 0,
+            ConsistencyLevel::Session => request.required_position,
+            ConsistencyLevel::Eventual | ConsistencyLevel::Strong | ConsistencyLevel::Write => 0,
         };
         let group = self.topology.group(member.group);
         let is_primary = group.is_some_and(|group| group.known_primary == Some(member.id));
--- a/tests/failures/sends.rs
+++ b/tests/failures/sends.rs
@@ -104,3 +104,65 @@
     assert_eq!(dispatches(&actions).len(), 1);
     assert_eq!(gateway.permit_send(read, 1), Ok(()));
 }
+
+/// A write that waited for its connection was sent to a member that had lost its role meanwhile.
+#[test]
+fn write_is_not_sent_to_a_former_primary() {
+    for class in [WRITE, STRONG] {
+        let mut gateway = TestGateway::ready(settings(), 3);
+        let (request, actions) = gateway.arrive(class);
+        assert_eq!(dispatches(&actions), [(request, 0)]);
+        gateway.now += CONNECT;
+        assert_eq!(gateway.permit_send(request, 0), Ok(()));
+        gateway.report_role(0, Role::Replica);
+        assert_eq!(
+            gateway.permit_send(request, 0),
+            Err(SendRefusal::NotPrimary)
+        );
+        gateway.report_role(1, Role::Primary);
+        assert_eq!(
+            gateway.permit_send(request, 0),
+            Err(SendRefusal::NotPrimary)
+        );
+        let not_sent = Outcome::NotSent;
+        let actions = gateway.end_attempt(request, 0, not_sent, MemberReport::default());
+        assert_eq!(dispatches(&actions), [(request, 1)]);
+        assert_eq!(gateway.permit_send(request, 1), Ok(()));
+    }
+}
+
+/// A primary whose health checks fail may still be the primary, so that a write on its way there is sent.
+#[test]
+fn write_is_sent_to_a_primary_that_failed_meanwhile() {
+    let mut gateway = TestGateway::ready(settings(), 3);
+    let (write, _) = gateway.arrive(WRITE);
+    let mut actions = Vec::new();
+    for _ in 0..8 {
+        gateway.now += MS;
+        let failed = Outcome::ConnectFailed;
+        let checked = Event::HealthChecked(MemberId(0), failed, MemberReport::default());
+        actions.extend(gateway.event(checked));
+    }
+    assert!(actions.contains(&transition(0, MemberTransition::Demoted)));
+    assert_eq!(gateway.permit_send(write, 0), Ok(()));
+}
+
+/// A session read that waited for its connection was sent to a member that no longer had what the read must see.
+#[test]
+fn session_read_is_not_sent_to_a_former_primary_that_lags() {
+    let mut settings = settings();
+    settings.replica_checks = ReplicaChecks::None;
+    let mut gateway = TestGateway::ready(settings, 3);
+    gateway.now += 100 * MS;
+    let (read, actions) = gateway.arrive_with(SESSION, Some(1), Some(10 * MS));
+    assert_eq!(
+        dispatches(&actions),
+        [(read, 0)],
+        "only the primary has the write"
+    );
+    assert_eq!(gateway.permit_send(read, 0), Ok(()));
+    gateway.report_role(1, Role::Primary);
+    assert_eq!(gateway.permit_send(read, 0), Err(SendRefusal::StaleData));
+    gateway.report_role(0, Role::Replica);
+    assert_eq!(gateway.permit_send(read, 0), Ok(()), "it has caught up");
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -196,6 +196,7 @@
         "RequestEnded",
         "MemberDraining",
         "RepeatForbidden",
+        "NotPrimary",
         "StaleData",
     ];
     for reason in reasons {
