Judge a tenant's placement in force before each write of an attempt

Cause: admit_to_cell looked at the placement once, on arrival; before an attempt the quarantine alone was asked, and nothing after the wait for a connection.

Change: CellAdmission::check_send judges hold, lease, group and quarantine in force, when an attempt starts and, as part of SendGuard, before each write. Held or without a lease a write is rejected untouched, or fails where it may have run. After a move the request is admitted to the new cell and given to the router anew, unless an earlier attempt may have run and must not be repeated.

The quarantine's unit test asks check_send now, with reason and harmlessness in place of Refuse and Fail.

--- a/src/bin/asterreel/cells.rs
+++ b/src/bin/asterreel/cells.rs
@@ -5,10 +5,10 @@
 //! and then writes are rejected.
 
 use asterreel::cells::placement::Placement;
-use asterreel::cells::quarantine::{MemberOutcome, QuarantineDecision};
+use asterreel::cells::quarantine::MemberOutcome;
 use asterreel::cells::tenants::Caller;
-use asterreel::cells::{record, Admitted, CellAdmission, Epoch, Rejection};
-use asterreel::interface::{Idempotency, MemberId, Micros, Outcome};
+use asterreel::cells::{record, Admitted, Attempt, CellAdmission, Epoch, Rejection, SendRefusal};
+use asterreel::interface::{MemberId, Micros, Outcome};
 use asterreel::operator::{self, SettingError};
 use asterreel_control::clock::Clock;
 use std::io;
@@ -160,24 +160,15 @@
 }
 
 impl CellPermit {
-    /// Whether an attempt may be dispatched. `may_have_run` says that an earlier attempt of the request may have run;
-    /// `failed_members` is the number of members that crashed after its attempts.
-    pub(crate) fn admit_attempt(
-        &self,
-        idempotency: Idempotency,
-        may_have_run: bool,
-        failed_members: usize,
-    ) -> QuarantineDecision {
+    /// Whether an attempt may be sent now.
+    ///
+    /// # Errors
+    ///
+    /// Why not, see [`CellAdmission::check_send`].
+    pub(crate) fn check_send(&self, attempt: Attempt) -> Result<(), SendRefusal> {
         let now = self.cells.clock.now();
-        self.cells.with_admission(|admission| {
-            admission.admit_attempt(
-                now,
-                &self.admitted,
-                idempotency,
-                may_have_run,
-                failed_members,
-            )
-        })
+        self.cells
+            .with_admission(|admission| admission.check_send(now, &self.admitted, attempt))
     }
 
     /// Records the outcome of an attempt. Only a connection that was reset during it indicates a crash of the member; a
--- a/src/bin/asterreel/front/admission.rs
+++ b/src/bin/asterreel/front/admission.rs
@@ -9,6 +9,7 @@
 use asterreel::cells::{Rejection, LOST_CELL_RETRY_AFTER_US};
 use asterreel::interface::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
 use tracing::debug;
 
 /// What an admitted request holds until it has completed.
@@ -22,7 +23,7 @@
     /// When its client stops waiting for an answer.
     pub due: Micros,
     /// The request's admission to the cell of its tenant, where cells are configured.
-    pub cell_permit: Option<CellPermit>,
+    pub cell_permit: Option<Arc<CellPermit>>,
     _open_id: OpenRequestId,
 }
 
@@ -72,11 +73,11 @@
     }
 
     /// Admits a request to the cell of its tenant; `None` where cells are not configured.
-    fn admit_to_cell(
+    pub(super) fn admit_to_cell(
         &self,
         statement: &Statement,
         consistency: ConsistencyLevel,
-    ) -> Result<Option<CellPermit>, Rejection> {
+    ) -> Result<Option<Arc<CellPermit>>, Rejection> {
         let Some(cells) = &self.gateway.cells else {
             return Ok(None);
         };
@@ -107,7 +108,7 @@
         {
             return Err(Rejection::AllMembersLost(LOST_CELL_RETRY_AFTER_US));
         }
-        Ok(Some(cell_permit))
+        Ok(Some(Arc::new(cell_permit)))
     }
 
     /// The arrival event of a request, as the router is given it.
--- a/src/bin/asterreel/front/error_answer.rs
+++ b/src/bin/asterreel/front/error_answer.rs
@@ -1,7 +1,7 @@
 //! Final answers to a request other than a row.
 
 use crate::postgres::{self as pg, sqlstate, Severity};
-use asterreel::cells::Rejection;
+use asterreel::cells::{Rejection, SendRefusal};
 use asterreel::interface::Micros;
 
 /// A final answer other than a row, with the text of the error message for the client.
@@ -42,6 +42,16 @@
     }
 }
 
+impl From<SendRefusal> for ErrorAnswer {
+    fn from(refusal: SendRefusal) -> ErrorAnswer {
+        if refusal.retry_is_harmless {
+            ErrorAnswer::from(refusal.reason)
+        } else {
+            ErrorAnswer::Failed(refusal.reason.message().0)
+        }
+    }
+}
+
 impl From<Rejection> for ErrorAnswer {
     fn from(rejection: Rejection) -> ErrorAnswer {
         let (text, retry_after) = rejection.message();
--- a/src/bin/asterreel/front/request.rs
+++ b/src/bin/asterreel/front/request.rs
@@ -2,20 +2,22 @@
 //!
 //! The router decides; this module carries out its commands and reports to it how attempts end. An admitted request
 //! gets exactly one final answer, at the latest [`DECISION_GRACE_US`] after its deadline. No attempt is dispatched for
-//! a client that has disconnected, and a statement is sent again only on a command of the router.
+//! a client that has disconnected, and a statement is sent again only on a command of the router. A request of which
+//! nothing may have run, or that may be repeated, follows its tenant to another cell: it is given to the router anew.
 
 use super::admission::Admitted;
 use super::attempts::{Attempt, Attempts};
 use super::error_answer::ErrorAnswer;
 use super::mailbox::SessionEvent;
-use super::send_guard::SendGuard;
+use super::send_guard::{CellAttempt, SendGuard};
 use super::session::{Session, SessionError};
 use crate::core::{Command, Dispatch};
 use crate::postgres::{self as pg, Statement};
 use crate::request::attempt::{self, AttemptResult};
 use crate::request::cancellation::CancellationToken;
+use crate::request::write_gate::WriteRefusal;
 use crate::runtime::coroutine::spawn;
-use asterreel::cells::quarantine::QuarantineDecision;
+use asterreel::cells::{self, Rejection};
 use asterreel::interface::*;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -37,6 +39,8 @@
     may_have_run: bool,
     /// The members whose connections broke during an attempt of this request.
     failed_members: HashSet<MemberId>,
+    /// Its tenant was moved, and it is to be admitted to the tenant's new cell.
+    must_follow_tenant: bool,
 }
 
 impl Request {
@@ -47,26 +51,28 @@
         }
     }
 
-    /// Whether the quarantine of the request's cell allows another attempt; the error is the final answer otherwise.
-    fn check_quarantine(&self) -> Result<(), ErrorAnswer> {
-        let Some(cell_permit) = &self.admitted.cell_permit else {
-            return Ok(());
-        };
-        let text = "this statement is quarantined";
-        match cell_permit.admit_attempt(
-            self.admitted.idempotency,
-            self.may_have_run,
-            self.failed_members.len(),
-        ) {
-            QuarantineDecision::Allow => Ok(()),
-            QuarantineDecision::Refuse => Err(ErrorAnswer::Rejected {
-                text,
-                retry_after: None,
-            }),
-            QuarantineDecision::Fail => Err(ErrorAnswer::Failed(text)),
+    /// Handles the refusal of an attempt by the cell of the request's tenant.
+    fn refused_by_cell(&mut self, refusal: cells::SendRefusal, out: &mut Vec<u8>) {
+        let is_moved = matches!(refusal.reason, Rejection::Moved(_));
+        if self.answer_pending && is_moved && refusal.retry_is_harmless {
+            self.must_follow_tenant = true;
+        } else {
+            self.finish_with_error(&ErrorAnswer::from(refusal), out);
         }
     }
 
+    /// The next attempt, as the cell of the request's tenant judges it.
+    fn cell_attempt(&self) -> Option<CellAttempt> {
+        let permit = self.admitted.cell_permit.clone()?;
+        let attempt = cells::Attempt {
+            write: self.admitted.consistency == ConsistencyLevel::Write,
+            idempotency: self.admitted.idempotency,
+            may_have_run: self.may_have_run,
+            failed_members: self.failed_members.len(),
+        };
+        Some(CellAttempt { permit, attempt })
+    }
+
     /// The `NotSent` end of an attempt that was dispatched and never started. It uses the next attempt number.
     fn unstarted_attempt(&mut self) -> AttemptEnded {
         AttemptEnded {
@@ -106,6 +112,9 @@
             self.write_decided_answer(&request, out);
             let event = self.next_event(request.answer_pending.then_some(decision_deadline));
             self.handle(&mut request, event, out);
+            if request.must_follow_tenant {
+                self.follow_tenant(&mut request, out);
+            }
         }
         self.report_unstarted_dispatches(&mut request);
         core.forget(request.id);
@@ -130,6 +139,23 @@
             answer_pending: true,
             may_have_run: false,
             failed_members: HashSet::new(),
+            must_follow_tenant: false,
+        }
+    }
+
+    /// Admits a request to the cell that its tenant was moved to, and gives it to the router anew.
+    fn follow_tenant(&self, request: &mut Request, out: &mut Vec<u8>) {
+        request.must_follow_tenant = false;
+        let core = &self.gateway.core;
+        core.forget(request.id);
+        match self.admit_to_cell(&request.statement, request.admitted.consistency) {
+            Ok(cell_permit) => {
+                request.admitted.cell_permit = cell_permit;
+                request.attempts = Attempts::default();
+                let arrival = self.arrival(&request.statement, &request.admitted);
+                request.id = core.arrive(arrival, self.mailbox.clone());
+            }
+            Err(rejection) => request.finish_with_error(&ErrorAnswer::from(rejection), out),
         }
     }
 
@@ -212,7 +238,7 @@
         }
     }
 
-    /// Starts an attempt, unless the final answer was decided after the router's command or the quarantine forbids it;
+    /// Starts an attempt, unless the final answer was decided after the router's command or the tenant's cell forbids it;
     /// the attempt is then reported as not sent.
     fn dispatch(&self, request: &mut Request, dispatch: &Dispatch, out: &mut Vec<u8>) {
         let &Dispatch {
@@ -221,6 +247,7 @@
             deadline,
             send_by,
         } = dispatch;
+        let cell = request.cell_attempt();
         if request.answer_pending {
             debug!(
                 request = request.id.0,
@@ -229,11 +256,11 @@
                 due = request.admitted.due,
                 "dispatching attempt"
             );
-            if let Err(answer) = request.check_quarantine() {
-                request.finish_with_error(&answer, out);
+            if let Some(Err(refusal)) = cell.as_ref().map(CellAttempt::check) {
+                request.refused_by_cell(refusal, out);
             }
         }
-        if !request.answer_pending {
+        if !request.answer_pending || request.must_follow_tenant {
             self.gateway.core.attempt_ended(request.unstarted_attempt());
             return;
         }
@@ -251,9 +278,12 @@
             attempt: number,
             token: token.clone(),
             send_by,
+            cell,
         };
         spawn(move || {
             let result = attempt::run(&gateway.pool, address, &statement, &token, &guard);
+            // Released first, so that the request's end releases what it holds of its cell.
+            drop(guard);
             mailbox.post(SessionEvent::AttemptEnded(number, result));
         });
     }
@@ -271,8 +301,11 @@
         };
         let core = &self.gateway.core;
         let (outcome, role) = (result.outcome, result.answer_report.role);
+        if let Some(WriteRefusal::Cell(refusal)) = result.refusal {
+            request.refused_by_cell(refusal, out);
+        }
         let is_served = outcome == Outcome::Served;
-        let is_finished = is_served || !request.answer_pending;
+        let is_finished = is_served || !request.answer_pending || request.must_follow_tenant;
         request.may_have_run |= !is_served && !outcome.proves_no_effect();
         if let Some(cell_permit) = &request.admitted.cell_permit {
             cell_permit.attempt_ended(attempt.member, outcome);
--- a/src/bin/asterreel/request/write_gate.rs
+++ b/src/bin/asterreel/request/write_gate.rs
@@ -4,6 +4,7 @@
 //! socket takes more bytes.
 
 use crate::request::cancellation::CancellationToken;
+use asterreel::cells;
 use asterreel::interface::{Micros, SendRefusal};
 use asterreel_control::clock::Clock;
 use thiserror::Error;
@@ -14,6 +15,9 @@
     /// The wait was cancelled, or its deadline has passed.
     #[error("cancelled, or the deadline has passed")]
     Stopped,
+    /// The tenant's cell does not allow the send.
+    #[error("{}", .0.reason.message().0)]
+    Cell(cells::SendRefusal),
     /// A rule of the router forbids the send.
     #[error(transparent)]
     Rule(#[from] SendRefusal),
--- a/src/cells/admission.rs
+++ b/src/cells/admission.rs
@@ -1,8 +1,11 @@
-//! Admission of requests to cells, before the router gets them and before each attempt: which tenant a request belongs to,
-//! where that tenant is placed, whether its cell has capacity, and whether its statement is quarantined.
+//! Admission of requests to cells: which tenant a request belongs to, where that tenant is placed, whether its cell has
+//! capacity, and whether its statement is quarantined.
+//!
+//! A request is admitted before the router gets it. What the admission found may change while the request waits, so that
+//! [`CellAdmission::check_send`] judges each attempt again: when it starts, and before bytes of it are written.
 
 use super::bulkhead::{Bounds, Bulkheads, Exhausted, Resource};
-use super::placement::Placement;
+use super::placement::{Place, Placement};
 use super::quarantine::{
     fingerprint, Fingerprint, MemberOutcome, Quarantine, QuarantineDecision, QuarantineOptions,
 };
@@ -62,6 +65,8 @@
     /// The request's group has lost all its members, and no other may serve it; with the retry-after time,
     /// microseconds.
     AllMembersLost(Micros),
+    /// Another group serves the tenant since the request was admitted; with the retry-after time, microseconds.
+    Moved(Micros),
 }
 
 impl Rejection {
@@ -80,12 +85,35 @@
             Rejection::Quarantined => ("this statement is quarantined", None),
             Rejection::AllMembersLost(wait) => ("the cell has lost all its members", Some(wait)),
             Rejection::StalePlacement(wait) => ("the placement is too old", Some(wait)),
+            Rejection::Moved(wait) => ("the tenant was moved", Some(wait)),
         }
     }
 }
 
-/// An admitted request and the resources that [`CellAdmission::request_ended`] releases.
+/// What an attempt of an admitted request is judged by, besides the placement in force.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    /// Whether the request changes data.
+    pub write: bool,
+    /// Whether running the request more than once does harm.
+    pub idempotency: Idempotency,
+    /// Whether an earlier attempt may have run.
+    pub may_have_run: bool,
+    /// Members that crashed under the request's own attempts.
+    pub failed_members: usize,
+}
+
+/// Why an attempt of an admitted request must not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendRefusal {
+    /// The reason.
+    pub reason: Rejection,
+    /// Whether the client may send the request again without harm: nothing of it has run, or repeats have no effect.
+    pub retry_is_harmless: bool,
+}
+
+/// An admitted request and the resources that [`CellAdmission::request_ended`] releases.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Admitted {
     /// The cell of its tenant.
     pub cell: CellId,
@@ -95,6 +123,9 @@
     pub group: GroupId,
     /// Whether the tenant was migrated recently, so that replicas may not have the session's last write yet.
     pub settling: bool,
+    tenant_name: Box<str>,
+    cluster: u64,
+    key: Box<[u8]>,
     tenant: u64,
     fingerprint: Fingerprint,
     bytes: u32,
@@ -162,14 +193,7 @@
             .tenant_resolver
             .resolve(caller)
             .ok_or(Rejection::UnknownTenant)?;
-        let place = self.placement.place(name, key);
-        if write && place.home.held {
-            return Err(Rejection::Migrating(MIGRATING_RETRY_AFTER_US));
-        }
-        // Without a lease a migration may have begun unnoticed, so that writes must stop; reads continue.
-        if write && now >= self.fresh_until {
-            return Err(Rejection::StalePlacement(MIGRATING_RETRY_AFTER_US));
-        }
+        let place = self.place(now, name, key, write)?;
         let (tenant, fingerprint) = (stable_hash(name.as_bytes()), fingerprint(name, statement));
         if self.quarantine.admit(
             now,
@@ -191,6 +215,9 @@
             epoch: place.home.epoch,
             group: place.group(cluster),
             settling: place.home.settling,
+            tenant_name: name.into(),
+            cluster,
+            key: key.into(),
             tenant,
             fingerprint,
             bytes,
@@ -198,23 +225,55 @@
         })
     }
 
-    /// Whether an attempt of a request may be dispatched; `may_have_run` if an earlier attempt may have run, and
-    /// `failed_members` is the number of members that crashed under the request's own attempts.
-    pub fn admit_attempt(
+    /// The place of a tenant's key, if the placement in force allows to use it now.
+    fn place(&self, now: Micros, name: &str, key: &[u8], write: bool) -> Result<Place, Rejection> {
+        let place = self.placement.place(name, key);
+        if write && place.home.held {
+            return Err(Rejection::Migrating(MIGRATING_RETRY_AFTER_US));
+        }
+        // Without a lease a migration may have begun unnoticed, so that writes must stop; reads continue.
+        if write && now >= self.fresh_until {
+            return Err(Rejection::StalePlacement(MIGRATING_RETRY_AFTER_US));
+        }
+        Ok(place)
+    }
+
+    /// Whether an attempt of a request may be sent to its group now, by the placement and the quarantine in force.
+    ///
+    /// # Errors
+    ///
+    /// [`SendRefusal`]: the tenant is being moved or was moved, the placement is outdated, or the statement is
+    /// quarantined.
+    pub fn check_send(
         &mut self,
         now: Micros,
         admitted: &Admitted,
-        idempotency: Idempotency,
-        may_have_run: bool,
-        failed_members: usize,
-    ) -> QuarantineDecision {
-        self.quarantine.admit(
+        attempt: Attempt,
+    ) -> Result<(), SendRefusal> {
+        let is_idempotent = attempt.idempotency == Idempotency::Idempotent;
+        let refuse = |reason| SendRefusal {
+            reason,
+            retry_is_harmless: is_idempotent || !attempt.may_have_run,
+        };
+        let place = self
+            .place(now, &admitted.tenant_name, &admitted.key, attempt.write)
+            .map_err(refuse)?;
+        if place.group(admitted.cluster) != admitted.group {
+            return Err(refuse(Rejection::Moved(MIGRATING_RETRY_AFTER_US)));
+        }
+        let decision = self.quarantine.admit(
             now,
             (admitted.tenant, admitted.fingerprint),
-            idempotency,
-            may_have_run,
-            failed_members,
-        )
+            attempt.idempotency,
+            attempt.may_have_run,
+            attempt.failed_members,
+        );
+        match decision {
+            QuarantineDecision::Allow => Ok(()),
+            QuarantineDecision::Refuse | QuarantineDecision::Fail => {
+                Err(refuse(Rejection::Quarantined))
+            }
+        }
     }
 
     /// Records how an attempt ended for its member.
--- a/src/cells/admission/tests.rs
+++ b/src/cells/admission/tests.rs
@@ -58,6 +58,15 @@
     admission.admit(now, &caller, (0, b""), READ, write)
 }
 
+fn attempt(idempotency: Idempotency, may_have_run: bool, failed_members: usize) -> Attempt {
+    Attempt {
+        write: idempotency != Idempotency::Idempotent,
+        idempotency,
+        may_have_run,
+        failed_members,
+    }
+}
+
 #[test]
 fn full_cell_rejects_only_requests_of_its_own_tenants() {
     let mut admission = admission(vec![
@@ -119,20 +128,24 @@
 fn quarantine_applies_on_arrival_and_before_each_attempt() {
     let mut admission = admission(vec![("b".into(), home(1, 1, false))]);
     let admitted = admit(&mut admission, 0, "b", false).expect("the cell has capacity");
+    let quarantined = |retry_is_harmless| {
+        Err(SendRefusal {
+            reason: Rejection::Quarantined,
+            retry_is_harmless,
+        })
+    };
+    let read = attempt(Idempotency::Idempotent, false, 0);
     assert_eq!(
-        admission.admit_attempt(0, &admitted, Idempotency::Idempotent, true, 2),
-        QuarantineDecision::Refuse
+        admission.check_send(0, &admitted, attempt(Idempotency::Idempotent, true, 2)),
+        quarantined(true)
     );
     for member in [MemberId(1), MemberId(2)] {
-        assert_eq!(
-            admission.admit_attempt(0, &admitted, Idempotency::Idempotent, false, 0),
-            QuarantineDecision::Allow
-        );
+        assert_eq!(admission.check_send(0, &admitted, read), Ok(()));
         admission.attempt_ended(0, &admitted, member, MemberOutcome::Crashed);
     }
     assert_eq!(
-        admission.admit_attempt(0, &admitted, Idempotency::NonIdempotent, true, 0),
-        QuarantineDecision::Fail
+        admission.check_send(0, &admitted, attempt(Idempotency::NonIdempotent, true, 0)),
+        quarantined(false)
     );
     assert_eq!(
         admit(&mut admission, 0, "b", false),
@@ -140,3 +153,57 @@
     );
     assert_eq!(admission.quarantined(0).len(), 1);
 }
+
+/// A write that waited in the router's queue was sent to the cell that its tenant had left: the placement was looked at on its
+/// arrival only.
+#[test]
+fn placement_in_force_decides_each_send() {
+    let mut admission = admission(vec![("b".into(), home(1, 1, false))]);
+    let admitted = admit(&mut admission, 0, "b", true).expect("the cell has capacity");
+    let (first, repeat) = (
+        attempt(Idempotency::NonIdempotent, false, 0),
+        attempt(Idempotency::NonIdempotent, true, 0),
+    );
+    let read = attempt(Idempotency::Idempotent, false, 0);
+    let refused = |reason, retry_is_harmless| {
+        Err(SendRefusal {
+            reason,
+            retry_is_harmless,
+        })
+    };
+    let wait = MIGRATING_RETRY_AFTER_US;
+    assert_eq!(admission.check_send(0, &admitted, first), Ok(()));
+    // Held: no write is sent, reads are.
+    admission.update_placement(placement(2, vec![("b".into(), home(1, 2, true))]), 2_000);
+    assert_eq!(
+        admission.check_send(0, &admitted, first),
+        refused(Rejection::Migrating(wait), true)
+    );
+    assert_eq!(
+        admission.check_send(0, &admitted, repeat),
+        refused(Rejection::Migrating(wait), false)
+    );
+    assert_eq!(admission.check_send(0, &admitted, read), Ok(()));
+    // Moved: nothing of it goes to the old cell any more.
+    admission.update_placement(placement(3, vec![("b".into(), home(0, 3, false))]), 3_000);
+    assert_eq!(
+        admission.check_send(0, &admitted, first),
+        refused(Rejection::Moved(wait), true)
+    );
+    assert_eq!(
+        admission.check_send(0, &admitted, repeat),
+        refused(Rejection::Moved(wait), false)
+    );
+    assert_eq!(
+        admission.check_send(0, &admitted, read),
+        refused(Rejection::Moved(wait), true)
+    );
+    // Back in its cell; then the lease on the placement ends, after which only reads are sent.
+    admission.update_placement(placement(4, vec![("b".into(), home(1, 4, false))]), 4_000);
+    assert_eq!(admission.check_send(3_999, &admitted, first), Ok(()));
+    assert_eq!(
+        admission.check_send(4_000, &admitted, first),
+        refused(Rejection::StalePlacement(wait), true)
+    );
+    assert_eq!(admission.check_send(4_000, &admitted, read), Ok(()));
+}
--- a/src/cells/mod.rs
+++ b/src/cells/mod.rs
@@ -14,7 +14,10 @@
 pub mod record;
 pub mod tenants;
 
-pub use admission::{AdmissionRules, Admitted, CellAdmission, Rejection, LOST_CELL_RETRY_AFTER_US};
+pub use admission::{
+    AdmissionRules, Admitted, Attempt, CellAdmission, Rejection, SendRefusal,
+    LOST_CELL_RETRY_AFTER_US,
+};
 
 use serde::{Deserialize, Serialize};
 
