Look whether the client is there before each write of an attempt that waited

What callers could see: in a process that was held up, an attempt whose connection became ready in that time was sent although its client had closed meanwhile, up to as long ago as the process was held up: the attempt had its turn before the session that saw the close.

The session looks whether the client is there when it starts the attempt; before the write only the router was asked, which learns of the close from the session.

Change: SendGuard looks at the client's socket (PeerState) itself, unless the attempt was started less than 10 ms ago.

--- a/src/bin/asterreel/front/request.rs
+++ b/src/bin/asterreel/front/request.rs
@@ -265,8 +265,9 @@
             return;
         }
         let token = Arc::new(CancellationToken::new(deadline));
+        let started_at = self.gateway.core.clock.now();
         let number = request.attempts.start(Attempt {
-            started_at: self.gateway.core.clock.now(),
+            started_at,
             member,
             token: token.clone(),
         });
@@ -278,6 +279,8 @@
             attempt: number,
             token: token.clone(),
             send_by,
+            started_at,
+            client: self.stream.peer(),
             cell,
         };
         spawn(move || {
--- a/src/bin/asterreel/front/send_guard.rs
+++ b/src/bin/asterreel/front/send_guard.rs
@@ -4,10 +4,15 @@
 use crate::cells::CellPermit;
 use crate::request::cancellation::CancellationToken;
 use crate::request::write_gate::{WriteGate, WriteRefusal};
+use crate::runtime::net::PeerState;
 use asterreel::cells;
 use asterreel::interface::{AttemptNo, Micros, RequestId};
 use std::sync::Arc;
 
+/// For how long the session's look at the client's connection holds, when it starts an attempt. Attempts that need not
+/// wait are sent well within it.
+const CLIENT_CHECK_VALID_US: Micros = 10_000;
+
 /// The gate of one attempt: everything that a send depends on, and that may change while the attempt waits.
 pub(super) struct SendGuard {
     /// The gateway, whose router knows the rules.
@@ -20,6 +25,10 @@
     pub token: Arc<CancellationToken>,
     /// When the attempt ends if it has not been sent by then.
     pub send_by: Micros,
+    /// When the session started the attempt. It looked whether the client was there right before.
+    pub started_at: Micros,
+    /// The client's connection.
+    pub client: PeerState,
     /// The request's admission to its tenant's cell, where cells are configured.
     pub cell: Option<CellAttempt>,
 }
@@ -39,12 +48,29 @@
     }
 }
 
+impl SendGuard {
+    /// Whether the client has closed its connection. The session sees that as well, but in a process that was held up it
+    /// may get its turn after an attempt whose connection became ready in that time.
+    fn has_client_gone(&self) -> bool {
+        let waited = self
+            .gateway
+            .core
+            .clock
+            .now()
+            .saturating_sub(self.started_at);
+        waited >= CLIENT_CHECK_VALID_US && self.client.has_closed()
+    }
+}
+
 impl WriteGate for SendGuard {
     fn check(&self) -> Result<(), WriteRefusal> {
         let core = &self.gateway.core;
         if !self.token.is_active(core.clock) {
             return Err(WriteRefusal::Stopped);
         }
+        if self.has_client_gone() {
+            return Err(WriteRefusal::ClientGone);
+        }
         if let Some(cell) = &self.cell {
             cell.check().map_err(WriteRefusal::Cell)?;
         }
--- a/src/bin/asterreel/request/write_gate.rs
+++ b/src/bin/asterreel/request/write_gate.rs
@@ -15,6 +15,9 @@
     /// The wait was cancelled, or its deadline has passed.
     #[error("cancelled, or the deadline has passed")]
     Stopped,
+    /// The client has closed its connection.
+    #[error("the client has disconnected")]
+    ClientGone,
     /// The tenant's cell does not allow the send.
     #[error("{}", .0.reason.message().0)]
     Cell(cells::SendRefusal),
--- a/src/bin/asterreel/runtime/net.rs
+++ b/src/bin/asterreel/runtime/net.rs
@@ -30,7 +30,7 @@
 ///
 /// Waits have no timeout: the caller sets an alarm first.
 pub(crate) struct Stream {
-    socket: TcpStream,
+    socket: Arc<TcpStream>,
     /// Bytes that were read and are not consumed yet.
     pub buffer: Buffer,
     /// Sets the alarms that wake coroutines waiting for this connection.
@@ -44,7 +44,7 @@
         // option too.
         let _ = socket.set_nodelay(true);
         Stream {
-            socket,
+            socket: Arc::new(socket),
             buffer: Buffer::default(),
             timer,
         }
@@ -89,21 +89,14 @@
         }
     }
 
-    /// Whether the peer has closed or reset the connection, even if bytes before the end are still unread; false if that
-    /// can't be determined.
+    /// Whether the peer has closed or reset the connection, see [`PeerState::has_closed`].
     pub(crate) fn has_peer_closed(&self) -> bool {
-        let ends = EpollFlags::EPOLLRDHUP | EpollFlags::EPOLLHUP | EpollFlags::EPOLLERR;
-        let poll = || -> nix::Result<bool> {
-            let epoll = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
-            epoll.add(
-                self.socket.inner(),
-                EpollEvent::new(EpollFlags::EPOLLRDHUP, 0),
-            )?;
-            let mut events = [EpollEvent::empty()];
-            Ok(epoll.wait(&mut events, EpollTimeout::ZERO)? > 0
-                && events[0].events().intersects(ends))
-        };
-        poll().unwrap_or(false)
+        self.peer().has_closed()
+    }
+
+    /// The peer of the connection, for coroutines that do not own the stream.
+    pub(crate) fn peer(&self) -> PeerState {
+        PeerState(self.socket.clone())
     }
 
     /// Closes a connection so that the last bytes written still arrive: closing a socket with unread bytes would reset the
@@ -180,3 +173,22 @@
         })
     }
 }
+
+/// Tells whether the peer of a connection is still there. It keeps the socket open.
+pub(crate) struct PeerState(Arc<TcpStream>);
+
+impl PeerState {
+    /// Whether the peer has closed or reset the connection, even if bytes before the end are still unread; false if that
+    /// can't be determined.
+    pub(crate) fn has_closed(&self) -> bool {
+        let ends = EpollFlags::EPOLLRDHUP | EpollFlags::EPOLLHUP | EpollFlags::EPOLLERR;
+        let poll = || -> nix::Result<bool> {
+            let epoll = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
+            epoll.add(self.0.inner(), EpollEvent::new(EpollFlags::EPOLLRDHUP, 0))?;
+            let mut events = [EpollEvent::empty()];
+            Ok(epoll.wait(&mut events, EpollTimeout::ZERO)? > 0
+                && events[0].events().intersects(ends))
+        };
+        poll().unwrap_or(false)
+    }
+}
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -239,6 +239,15 @@
         ended
     }
 
+    /// Waits until the gateway has opened this many connections since the last call of [`Database::disconnect_all`].
+    pub(crate) fn wait_for_connections(&self, count: usize) {
+        let until = Instant::now() + WAIT_LIMIT;
+        while self.connections.lock().expect("not poisoned").len() < count {
+            assert!(Instant::now() < until, "the gateway opens no connections");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Ends all connections.
     pub(crate) fn disconnect_all(&self) {
         let mut connections = self.connections.lock().expect("not poisoned");
--- a/tests/sends.rs
+++ b/tests/sends.rs
@@ -110,3 +110,32 @@
     let repeat = fixture.statements.recv_timeout(WAIT_LIMIT);
     assert!(contains_id(&repeat.expect("a repeat"), "repeated"));
 }
+
+/// Three clients left while the gateway was stopped, and the connections for their writes became ready before: their attempts got
+/// their turn before the sessions that saw the clients leave, and were sent.
+#[test]
+fn write_is_not_sent_for_a_client_that_left_before_its_connection_was_ready() {
+    let fixture = Fixture::with_window(Duration::from_secs(20));
+    let mut clients: Vec<Client> = (0..3).map(|_| Client::ready(&fixture.gateway)).collect();
+    fixture.disconnect_primary();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&query(&write(&format!("gone-{number}"))));
+    }
+    fixture.primary.wait_for_connections(clients.len());
+    fixture.gateway.signal("-STOP");
+    fixture.primary.startups.set(true);
+    // The startups' answers must have arrived before the closes; on loopback 100 ms are enough.
+    thread::sleep(Duration::from_millis(100));
+    drop(clients);
+    thread::sleep(Duration::from_millis(100));
+    fixture.gateway.signal("-CONT");
+    let mut other = Client::ready(&fixture.gateway);
+    other.send(&query(&write("other")));
+    assert_eq!(other.read_answer().0, "TDCZ");
+    let sent: Vec<Vec<u8>> = fixture.statements.try_iter().collect();
+    assert!(sent.iter().any(|statement| contains_id(statement, "other")));
+    let late = sent
+        .iter()
+        .filter(|statement| String::from_utf8_lossy(statement).contains("id=gone-"));
+    assert_eq!(late.count(), 0);
+}
