End a held-up write after 0.1 s, as the time that it tells the server is outdated

Change: SendGuard gives a statement 0.1 s from its composition to its last byte. After that the connection is closed, nothing has run, and the member has a failure (ConnectFailed), so that the repeat can go elsewhere.

--- a/src/bin/asterreel/front/request.rs
+++ b/src/bin/asterreel/front/request.rs
@@ -284,7 +284,8 @@
             cell,
         };
         spawn(move || {
-            let result = attempt::run(&gateway.pool, address, &statement, &token, &guard);
+            let pool = &gateway.pool;
+            let result = attempt::run(pool, address, &statement, &token, send_by, &guard);
             // Released first, so that the request's end releases what it holds of its cell.
             drop(guard);
             mailbox.post(SessionEvent::AttemptEnded(number, result));
--- a/src/bin/asterreel/front/send_guard.rs
+++ b/src/bin/asterreel/front/send_guard.rs
@@ -13,6 +13,9 @@
 /// wait are sent well within it.
 const CLIENT_CHECK_VALID_US: Micros = 10_000;
 
+/// How long it may take to write a statement: it tells the server how much time is left, as of its first byte.
+const MAX_WRITE_TIME_US: Micros = 100_000;
+
 /// The gate of one attempt: everything that a send depends on, and that may change while the attempt waits.
 pub(super) struct SendGuard {
     /// The gateway, whose router knows the rules.
@@ -63,11 +66,14 @@
 }
 
 impl WriteGate for SendGuard {
-    fn check(&self) -> Result<(), WriteRefusal> {
+    fn check(&self, composed_at: Micros) -> Result<(), WriteRefusal> {
         let core = &self.gateway.core;
         if !self.token.is_active(core.clock) {
             return Err(WriteRefusal::Stopped);
         }
+        if core.clock.now() >= composed_at.saturating_add(MAX_WRITE_TIME_US) {
+            return Err(WriteRefusal::Stalled);
+        }
         if self.has_client_gone() {
             return Err(WriteRefusal::ClientGone);
         }
@@ -78,7 +84,8 @@
         Ok(())
     }
 
-    fn write_by(&self) -> Micros {
+    fn write_by(&self, composed_at: Micros) -> Micros {
         self.send_by
+            .min(composed_at.saturating_add(MAX_WRITE_TIME_US))
     }
 }
--- a/src/bin/asterreel/request/attempt.rs
+++ b/src/bin/asterreel/request/attempt.rs
@@ -9,7 +9,7 @@
 use crate::request::pool::Pool;
 use crate::request::round_trip::{round_trip, ConnectionError};
 use crate::request::write_gate::{WriteGate, WriteRefusal};
-use asterreel::interface::{MemberReport, Outcome};
+use asterreel::interface::{MemberReport, Micros, Outcome};
 use std::net::SocketAddr;
 
 /// How an attempt ended.
@@ -37,19 +37,19 @@
 }
 
 /// Makes one attempt. `gate` is asked before each write of the statement, and the attempt ends as not sent if it has no
-/// connection by [`WriteGate::write_by`].
+/// connection by `send_by`.
 pub(crate) fn run(
     pool: &Pool,
     address: SocketAddr,
     statement: &Statement,
     token: &CancellationToken,
+    send_by: Micros,
     gate: &dyn WriteGate,
 ) -> AttemptResult {
-    let connect_by = gate.write_by();
-    let mut connection = match pool.acquire(address, connect_by) {
+    let mut connection = match pool.acquire(address, send_by) {
         Ok(connection) => connection,
         Err(error) => {
-            let deadline_passed = pool.clock.now() >= connect_by;
+            let deadline_passed = pool.clock.now() >= send_by;
             let outcome = outcome::without_connection(error, deadline_passed);
             return AttemptResult::without_connection(outcome);
         }
--- a/src/bin/asterreel/request/outcome.rs
+++ b/src/bin/asterreel/request/outcome.rs
@@ -3,6 +3,7 @@
 use crate::postgres::{sqlstate, QueryResult};
 use crate::request::pool::AcquireError;
 use crate::request::round_trip::ConnectionError;
+use crate::request::write_gate::WriteRefusal;
 use asterreel::interface::Outcome;
 
 /// The outcome of an attempt that got no connection. Nothing was sent, whatever the reason.
@@ -32,7 +33,16 @@
             _ => Outcome::Error,
         },
         // A server runs a query only once its last byte has arrived: one that was not written completely never runs.
-        (None, Err(ConnectionError::Lost { written: false })) => Outcome::ConnectFailed,
+        (
+            None,
+            Err(
+                ConnectionError::Lost { written: false }
+                | ConnectionError::Refused {
+                    refusal: WriteRefusal::Stalled,
+                    ..
+                },
+            ),
+        ) => Outcome::ConnectFailed,
         (
             None,
             Err(ConnectionError::Stopped { written: false } | ConnectionError::Refused { .. }),
--- a/src/bin/asterreel/request/outcome/tests.rs
+++ b/src/bin/asterreel/request/outcome/tests.rs
@@ -9,6 +9,10 @@
 fn round_trip_end_decides_what_can_have_run() {
     let lost = |written| Err(ConnectionError::Lost { written });
     let stopped = |written| Err(ConnectionError::Stopped { written });
+    let refused = |refusal| {
+        let begun = true;
+        Err(ConnectionError::Refused { refusal, begun })
+    };
     let row = Some(QueryResult::Row);
     let cases = [
         (Ok(()), row.clone(), false, Outcome::Served),
@@ -25,6 +29,19 @@
         (lost(false), None, false, Outcome::ConnectFailed),
         (lost(true), None, false, Outcome::Reset),
         (stopped(false), None, true, Outcome::NotSent),
+        (
+            refused(WriteRefusal::ClientGone),
+            None,
+            false,
+            Outcome::NotSent,
+        ),
+        // A server that takes no bytes is at fault.
+        (
+            refused(WriteRefusal::Stalled),
+            None,
+            false,
+            Outcome::ConnectFailed,
+        ),
         (stopped(true), None, true, Outcome::Cancelled),
         (stopped(true), None, false, Outcome::TimedOut),
         (Err(ConnectionError::Malformed), None, false, Outcome::Error),
--- a/src/bin/asterreel/request/round_trip.rs
+++ b/src/bin/asterreel/request/round_trip.rs
@@ -35,7 +35,7 @@
     Malformed,
 }
 
-/// Writes a message, as far as its gate allows, and reads its answer up to ReadyForQuery.
+/// Writes a message that was composed just before, as far as its gate allows, and reads its answer up to ReadyForQuery.
 ///
 /// # Errors
 ///
@@ -49,9 +49,12 @@
     clock: Clock,
 ) -> Result<(), ConnectionError> {
     token.set_waker(stream.waker());
-    let write_alarm = stream.timer.alarm(gate.write_by(), stream.waker());
+    let composed_at = clock.now();
+    let write_alarm = stream
+        .timer
+        .alarm(gate.write_by(composed_at), stream.waker());
     stream
-        .write_all(message, || gate.check())
+        .write_all(message, || gate.check(composed_at))
         .map_err(|error| write_error(&error))?;
     drop(write_alarm);
     let deadline_alarm = stream.timer.alarm(token.deadline, stream.waker());
@@ -139,3 +142,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/asterreel/request/write_gate.rs
+++ b/src/bin/asterreel/request/write_gate.rs
@@ -15,6 +15,9 @@
     /// The wait was cancelled, or its deadline has passed.
     #[error("cancelled, or the deadline has passed")]
     Stopped,
+    /// The server took too long to take the message, and the time that it tells the server is outdated.
+    #[error("the server did not take the message in time")]
+    Stalled,
     /// The client has closed its connection.
     #[error("the client has disconnected")]
     ClientGone,
@@ -28,15 +31,16 @@
 
 /// Judges whether bytes of a message may be written now.
 pub(crate) trait WriteGate {
-    /// Whether bytes may be written now. Asked before each write to the socket.
+    /// Whether bytes of a message that was composed at `composed_at` may be written now. Asked before each write to the
+    /// socket.
     ///
     /// # Errors
     ///
     /// Why not; none of the bytes that are left is written then.
-    fn check(&self) -> Result<(), WriteRefusal>;
+    fn check(&self, composed_at: Micros) -> Result<(), WriteRefusal>;
 
-    /// When the wait for the next write ends at the latest.
-    fn write_by(&self) -> Micros;
+    /// When the last byte of a message that was composed at `composed_at` must have been written.
+    fn write_by(&self, composed_at: Micros) -> Micros;
 }
 
 /// The gate for messages that run nothing, such as a startup message: only their deadline and a cancellation count.
@@ -48,7 +52,7 @@
 }
 
 impl WriteGate for UntilStopped<'_> {
-    fn check(&self) -> Result<(), WriteRefusal> {
+    fn check(&self, _composed_at: Micros) -> Result<(), WriteRefusal> {
         if self.token.is_active(self.clock) {
             Ok(())
         } else {
@@ -56,7 +60,7 @@
         }
     }
 
-    fn write_by(&self) -> Micros {
+    fn write_by(&self, _composed_at: Micros) -> Micros {
         self.token.deadline
     }
 }
