Fail a keyed write that may have run where it was rejected for all-groups keys

What callers could see: where all groups drop repeats of a key, a write that may have run and was given up was rejected with 53300, which promises that another try does no harm. The window may be over by then, and the client's second try runs the write twice.

Cause: is_retry_harmless looked at the scope of the key and not at its window, and the client's next try comes at a time that the gateway doesn't know.

Change: only idempotent requests and those of which nothing may have run are rejected; a keyed write that may have run fails.

Evidence: keyed_write_that_may_have_run_is_not_rejected failed before for the scope All, and passes.

--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -2,9 +2,7 @@
 //!
 //! All deadlines here are pure functions of a request and its class. None is later than the client's own deadline.
 
-use crate::interface::{
-    Arrival, Class, ConsistencyLevel, DeduplicationScope, Idempotency, MemberId, Micros,
-};
+use crate::interface::{Arrival, Class, ConsistencyLevel, Idempotency, MemberId, Micros};
 
 /// The least late weight that makes a read worth its capacity after its objective has passed.
 const MIN_LATE_WEIGHT: f64 = 0.5;
@@ -124,17 +122,10 @@
         });
     }
 
-    /// Whether the client may send it again without harm, whatever its attempts did.
+    /// Whether the client may send it again without harm, however much later it does. An idempotency key makes a repeat
+    /// harmless for a time only, and the client's repeat may come after that.
     pub(super) fn is_retry_harmless(&self) -> bool {
-        let repeatable = matches!(
-            self.idempotency,
-            Idempotency::Idempotent
-                | Idempotency::IdempotencyKey {
-                    scope: DeduplicationScope::All,
-                    ..
-                }
-        );
-        repeatable || self.first_may_have_run(None).is_none()
+        self.idempotency == Idempotency::Idempotent || self.first_may_have_run(None).is_none()
     }
 
     /// The time until which an answer has its full weight.
--- a/tests/failures/sends.rs
+++ b/tests/failures/sends.rs
@@ -166,3 +166,29 @@
     gateway.report_role(0, Role::Replica);
     assert_eq!(gateway.permit_send(read, 0), Ok(()), "it has caught up");
 }
+
+/// A keyed write that may have run, and was given up as its window ended, was rejected where all groups drop repeats: its
+/// client would have sent it again after the window, and it would have run twice.
+#[test]
+fn keyed_write_that_may_have_run_is_not_rejected() {
+    for scope in [
+        DeduplicationScope::All,
+        DeduplicationScope::Zone,
+        DeduplicationScope::Group,
+    ] {
+        let mut settings = settings();
+        settings.classes[KEYED].idempotency = Idempotency::IdempotencyKey {
+            scope,
+            window: WINDOW,
+        };
+        let mut gateway = TestGateway::ready(settings, 3);
+        let (write, _) = gateway.arrive(KEYED);
+        assert_eq!(gateway.permit_send(write, 0), Ok(()));
+        gateway.now += WINDOW;
+        let actions = lose_connection(&mut gateway, write, 0);
+        assert!(
+            is_failed(&actions, write) && !is_rejected(&actions, write),
+            "{scope:?}"
+        );
+    }
+}
