Time a drain by the deadlines of the start, not by a file read again

Cause: apply_config logged that other settings take effect at the next start, and replaced the whole configuration all the same; the end of a drain was computed from it, while requests were admitted with the deadlines of the start.

Change: what was read again is a type of its own, ReloadedConfig; Config::apply_reloaded takes over discovery alone and names the keys that need a restart.

--- a/src/bin/asterreel/server.rs
+++ b/src/bin/asterreel/server.rs
@@ -8,7 +8,7 @@
 use crate::discovery::Source;
 use crate::front::Gateway;
 use crate::health;
-use asterreel::config::Config;
+use asterreel::config::{Config, ReloadedConfig};
 use asterreel::health::drain::{Timetable, FINAL_ANSWER_TIME};
 use asterreel::interface::Micros;
 use asterreel::operator::{Evaluated, OperatorFileError};
@@ -25,7 +25,7 @@
 
 /// The state of a serving gateway that signals and the control plane act on.
 pub(crate) struct Server<'a> {
-    /// The configuration in force, from `RELAY_CONFIG`.
+    /// The configuration in force, from `RELAY_CONFIG`: that of the start, but for the address of discovery.
     pub config: Config,
     /// The path of the operator's file.
     pub files: &'a Files,
@@ -68,13 +68,25 @@
             return false;
         }
         match self.config.reload_from_env() {
-            Ok(config) => apply_config(&mut self.config, config, self.source),
+            Ok(reloaded) => self.apply_config(reloaded),
             Err(error) => warn!("{error}; keeping the current configuration"),
         }
         self.reload_operator_file();
         true
     }
 
+    /// Applies the keys of a reloaded configuration that can change at run time, and warns of the others.
+    fn apply_config(&mut self, reloaded: ReloadedConfig) {
+        let effect = self.config.apply_reloaded(reloaded);
+        info!(discovery = %effect.discovery, "configuration read again");
+        for key in effect.keys_needing_restart {
+            warn!("configuration: {key}: the change takes effect at the next start");
+        }
+        if effect.is_discovery_moved {
+            self.source.move_to(effect.discovery);
+        }
+    }
+
     /// Reads the operator's file again; one that is invalid, or contradicts the configuration, changes nothing.
     fn reload_operator_file(&mut self) {
         if self.files.operator.is_none() {
@@ -171,6 +183,7 @@
         info!(left = gateway.open_sessions(), "stopped");
     }
 
+    /// The longest deadline with which a request can have been admitted.
     fn longest_deadline(&self) -> Micros {
         let classes = self.config.settings.classes.iter();
         classes.map(|class| class.deadline).max().unwrap_or(0)
@@ -185,24 +198,3 @@
         std::thread::sleep(DRAIN_POLL_INTERVAL);
     }
 }
-
-/// Applies the keys of a configuration read again that can change at run time, and warns of the others.
-fn apply_config(config: &mut Config, reread: Config, source: &Source) {
-    info!(discovery = %reread.discovery, "configuration read again");
-    let changes_needing_restart = [
-        ("name", config.name != reread.name),
-        ("listen", config.listen != reread.listen),
-        ("limits", config.max_descriptors != reread.max_descriptors),
-        ("settings", config.settings != reread.settings),
-    ];
-    for (key, _) in changes_needing_restart
-        .iter()
-        .filter(|(_, is_changed)| *is_changed)
-    {
-        warn!("configuration: {key}: the change takes effect at the next start");
-    }
-    if config.discovery != reread.discovery {
-        source.move_to(reread.discovery);
-    }
-    *config = reread;
-}
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,7 +2,8 @@
 //!
 //! `RELAY_CONFIG` names a JSON file; `RELAY_NAME`, `RELAY_LISTEN` and `RELAY_DISCOVERY` override its keys `name`, `listen`
 //! and `discovery`. Every error names the key at fault. The file can be reloaded while the gateway runs; if that fails, the
-//! configuration in force stays.
+//! configuration in force stays. What was reloaded is a type of its own, [`ReloadedConfig`], as only `discovery` of it comes
+//! into force before the next start.
 
 use crate::interface::Settings;
 use crate::settings::{EndpointRecord, Setup, UnknownValue};
@@ -41,6 +42,22 @@
     pub settings: Settings,
 }
 
+/// A configuration that was read while the process runs by another. It comes into force at the next start;
+/// [`Config::apply_reloaded`] takes over what can change before.
+#[derive(Debug)]
+pub struct ReloadedConfig(Config);
+
+/// What a reloaded configuration changes in a running process.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ReloadEffect {
+    /// The address of the discovery service in force from now on.
+    pub discovery: SocketAddr,
+    /// Whether that address has changed.
+    pub is_discovery_moved: bool,
+    /// The keys whose changes take effect at the next start.
+    pub keys_needing_restart: Vec<&'static str>,
+}
+
 /// A list of endpoints, or the changes to one.
 #[derive(Clone, Debug, Default, Deserialize)]
 // The type name in serde's error messages, which stays when this type is renamed.
@@ -198,7 +215,7 @@
     /// # Errors
     ///
     /// [`ConfigError`] names the key at fault.
-    pub fn reload_from_env(&self) -> Result<Config, ConfigError> {
+    pub fn reload_from_env(&self) -> Result<ReloadedConfig, ConfigError> {
         self.reload(&text_from_env()?, variable)
     }
 
@@ -223,8 +240,29 @@
         &self,
         text: &[u8],
         variable: impl Fn(&str) -> Option<String>,
-    ) -> Result<Config, ConfigError> {
-        Config::check(text, variable, Some(self))
+    ) -> Result<ReloadedConfig, ConfigError> {
+        Config::check(text, variable, Some(self)).map(ReloadedConfig)
+    }
+
+    /// Takes over the keys of a reloaded configuration that can change in a running process; all others stay as they were
+    /// at the start.
+    pub fn apply_reloaded(&mut self, reloaded: ReloadedConfig) -> ReloadEffect {
+        let ReloadedConfig(reloaded) = reloaded;
+        let keys = [
+            ("name", self.name != reloaded.name),
+            ("listen", self.listen != reloaded.listen),
+            ("limits", self.max_descriptors != reloaded.max_descriptors),
+            ("settings", self.settings != reloaded.settings),
+        ];
+        let changed = keys.into_iter().filter(|(_, is_changed)| *is_changed);
+        let effect = ReloadEffect {
+            discovery: reloaded.discovery,
+            is_discovery_moved: self.discovery != reloaded.discovery,
+            keys_needing_restart: changed.map(|(key, _)| key).collect(),
+        };
+        self.discovery = reloaded.discovery;
+        self.discovery_in_file = reloaded.discovery_in_file;
+        effect
     }
 
     fn check(
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -86,7 +86,8 @@
         (&moved, "127.0.0.3:1"),
         (EXAMPLE, "127.0.0.1:8500"),
     ] {
-        current = current.reload(text.as_bytes(), environment).expect("valid");
+        let reloaded = current.reload(text.as_bytes(), environment);
+        current.apply_reloaded(reloaded.expect("valid"));
         assert_eq!(current.discovery.to_string(), discovery);
     }
     let invalid = EXAMPLE.replace("127.0.0.1:8500", "nowhere");
@@ -98,3 +99,31 @@
         "discovery"
     );
 }
+
+/// A reload put settings in force of which the log said that they take effect at the next start: a drain after it was timed by
+/// deadlines with which no request had been admitted.
+#[test]
+fn reload_leaves_settings_in_force_as_they_were() {
+    let none = |_: &str| None;
+    let mut running = Config::parse(EXAMPLE.as_bytes(), none).expect("valid");
+    let at_start = running.settings.clone();
+    let other = EXAMPLE
+        .replace("\"DeadlineUs\": 3000000", "\"DeadlineUs\": 100000")
+        .replace("\"sockets\": 1024", "\"sockets\": 512")
+        .replace("127.0.0.1:6433", "127.0.0.1:6434")
+        .replace("127.0.0.1:8500", "127.0.0.1:8501");
+    for _ in 0..2 {
+        let reloaded = running.reload(other.as_bytes(), none).expect("valid");
+        let effect = running.apply_reloaded(reloaded);
+        assert_eq!(
+            effect.keys_needing_restart,
+            ["listen", "limits", "settings"]
+        );
+        assert_eq!(running.settings, at_start);
+        assert_eq!(
+            (running.max_descriptors, running.listen.port()),
+            (1024, 6433)
+        );
+        assert_eq!(running.discovery.port(), 8501);
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -335,6 +335,39 @@
     gateway.wait_for_success();
 }
 
+/// Requests that were open at SIGTERM got no answer where SIGHUP had brought shorter deadlines before: the end of the drain was
+/// computed from them, although the requests had been admitted with the deadlines of the start.
+#[test]
+fn drain_waits_for_the_deadlines_of_the_start_after_reloads() {
+    let mut gateway = start_with_log(0, 1024, |_| None, Stdio::piped());
+    let mut log = BufReader::new(gateway.process.stderr.take().expect("piped")).lines();
+    let mut wait_for = |text: &str| {
+        assert!(log.any(|line| line.expect("text").contains(text)));
+    };
+    let mut busy = Client::ready(&gateway);
+    busy.send(&query(&read("open")));
+    wait_for("dispatching attempt");
+    let shorter = gateway
+        .config
+        .replace("\"DeadlineUs\": 20000000", "\"DeadlineUs\": 100000")
+        .replace("\"DeadlineUs\": 3000000", "\"DeadlineUs\": 100000");
+    assert_ne!(shorter, gateway.config);
+    for _ in 0..2 {
+        gateway.reload(&shorter);
+        wait_for("configuration read again");
+    }
+    gateway.signal("-TERM");
+    wait_for("draining");
+    gateway.signal("-HUP");
+    wait_for("configuration read again");
+    // Longer than a drain takes that is timed by the shorter deadlines.
+    std::thread::sleep(Duration::from_millis(1_500));
+    let statement = gateway.statements.recv_timeout(Duration::from_secs(20));
+    statement.expect("the statement reaches a database");
+    assert_eq!(busy.read_answer().0, "TDCZ");
+    gateway.wait_for_success();
+}
+
 /// The gateway exits on an invalid configuration, and the error names the key.
 #[test]
 fn bad_configuration_names_the_key() {
