Act under a version only once its content is validated here

Cause: the state of a topic carried the active version's number without its content; the client activated a number that it had never validated, and the program passed over an activation without a file in silence.

Change: TopicState carries the content of the active version (optional field 5 on the wire; golden messages are unchanged). A version that this gateway did not find to be valid while it was proposed is validated first (client/catch_up.rs); until then it is registered, has no permission, and asks its program again with a jittered backoff, and at once on SIGHUP. It may propose meanwhile, as a fleet restarted with a new file could not go on otherwise. The audit counts requests under the version that was applied.

Three client tests validate their first version now, as the invariant asks.

--- a/control/src/golden_tests.rs
+++ b/control/src/golden_tests.rs
@@ -265,6 +265,7 @@
         TopicState {
             topic: Topic::Catalog,
             active: 4,
+            active_content: None,
             previous: 2,
             proposal: Some(Version {
                 number: 9,
@@ -274,6 +275,7 @@
         TopicState {
             topic: Topic::Placement,
             active: 7,
+            active_content: None,
             previous: 0,
             proposal: None,
         },
--- a/control/src/link/tests.rs
+++ b/control/src/link/tests.rs
@@ -318,6 +318,7 @@
         let topic = TopicState {
             topic: Topic::Operator,
             active: 1,
+            active_content: None,
             previous: 0,
             proposal: Some(Version { number: 2, content }),
         };
--- a/control/src/service/gateway.rs
+++ b/control/src/service/gateway.rs
@@ -191,6 +191,20 @@
                     .program_events
                     .send(ControlEvent::Activated(topic, number));
             }
+            Action::ActiveVersionInvalid {
+                topic,
+                number,
+                reason,
+            } => {
+                warn!(
+                    at,
+                    gateway,
+                    ?topic,
+                    number,
+                    reason,
+                    "version: the active one is not valid here; not acting until it is"
+                );
+            }
             Action::ProposalRejected {
                 topic,
                 number,
--- a/control/src/versions/client/event.rs
+++ b/control/src/versions/client/event.rs
@@ -74,6 +74,9 @@
          the gateway joins again by itself"
     )]
     RegistrationExpired,
+    /// A version is active whose content this gateway has not validated.
+    #[error("a version is active that was not validated here; the gateway acts again once it has validated it")]
+    UnvalidatedVersion,
     /// The gateway is shutting down gracefully.
     #[error("the gateway is draining")]
     Draining,
@@ -109,6 +112,15 @@
         /// The number of the version before it, on which other gateways may still act; 0 is none.
         previous: u64,
     },
+    /// This gateway can't act, as the active version of a topic is not valid here. It is validated again after a backoff.
+    ActiveVersionInvalid {
+        /// The topic that the version belongs to.
+        topic: Topic,
+        /// The number of the version.
+        number: u64,
+        /// Why it is not valid here.
+        reason: String,
+    },
     /// A proposed version was rejected; the active one stays.
     ProposalRejected {
         /// The topic that the version belongs to.
--- a/control/src/versions/client/mod.rs
+++ b/control/src/versions/client/mod.rs
@@ -2,13 +2,14 @@
 //! versions of its own operator, and reports its actions for the audit.
 //!
 //! Invariants: a gateway acts only under a [`Permission`], which expires unless it is renewed; a permission is granted only
-//! if the gateway knows the latest state of every topic. Messages are repeated until they are known to have arrived. The
+//! if the gateway knows the latest state of every topic, and has validated the content of every active version. Messages are repeated until they are known to have arrived. The
 //! caller validates contents; nothing here does I/O or reads a clock.
 //!
 //! Modules: `registration` holds the lease, `heartbeats` the schedule of heartbeats and redirections, `topics` the cached
-//! states of the topics, `validations` the validation of proposed versions, `proposal` the version that this gateway
-//! proposes, `reports` the audit reports.
+//! states of the topics, `validations` the validation of proposed versions, `catch_up` that of active versions which this
+//! gateway did not validate before, `proposal` the version that this gateway proposes, `reports` the audit reports.
 
+mod catch_up;
 mod event;
 mod heartbeats;
 mod proposal;
@@ -20,13 +21,19 @@
 use super::{Content, Formats, Rejection, ToControl, ToGateway, Topic, TopicState, Version};
 use crate::lease::{NodeIdentity, Timing, Token};
 use crate::Micros;
+use catch_up::{CatchUp, ValidationRequest};
 pub use event::{Action, Event, Permission, StopReason};
 use heartbeats::{Heartbeats, Redirects};
 use proposal::PendingProposal;
 use registration::RegistrationLease;
 use reports::Reports;
 use topics::CachedTopics;
-use validations::Validations;
+use validations::{check_format, Validations};
+
+/// Why an active version can't be validated that came without its content.
+const MISSING_CONTENT: &str =
+    "the control members run a build that does not send the content of active versions; update \
+                               them before the gateways";
 
 /// Whether a message that is repeated each renewal interval is due: it was not sent on this link yet, or at least a renewal
 /// interval ago.
@@ -47,6 +54,9 @@
     redirects: Redirects,
     topics: CachedTopics,
     validations: Validations,
+    catch_up: CatchUp,
+    /// Spreads the repeated validations of gateways over time.
+    seed: u64,
     proposal: Option<PendingProposal>,
     reports: Reports,
 }
@@ -65,6 +75,8 @@
             redirects: Redirects::default(),
             topics: CachedTopics::default(),
             validations: Validations::default(),
+            catch_up: CatchUp::default(),
+            seed,
             proposal: None,
             reports: Reports::default(),
         }
@@ -103,7 +115,7 @@
                 topic,
                 number,
                 result,
-            } => self.validations.record(topic, number, result),
+            } => self.record_validation(topic, number, result, out),
             Event::ProposeVersion { topic, content } => self.propose(now, topic, content, out),
             Event::Acted {
                 topic,
@@ -145,7 +157,11 @@
     }
 
     fn propose(&mut self, now: Micros, topic: Topic, content: Content, out: &mut Vec<Action>) {
-        if self.permission(now).is_none() {
+        // The operator may have mended what kept this gateway from acting. Where all gateways have another file than the
+        // active version's, none of them acts, and one of them has to be able to propose it.
+        self.catch_up.mark_due(now);
+        let is_catching_up = !self.catch_up.is_complete() && self.registration.token().is_some();
+        if self.permission(now).is_none() && !is_catching_up {
             out.push(Action::RequestRejected(Rejection::StaleRegistration));
             return;
         }
@@ -171,7 +187,11 @@
                     let registration = &mut self.registration;
                     let permission =
                         registration.renew(now, &self.timing, token, sent_at, registrations);
-                    out.extend(permission.map(Action::Act));
+                    if self.catch_up.is_complete() {
+                        out.extend(permission.map(Action::Act));
+                    } else {
+                        registration.revoke_permission();
+                    }
                 }
             }
             ToGateway::TopicStates {
@@ -181,7 +201,7 @@
             } => {
                 if self.topics.advance(since, state_index) {
                     for state in topics {
-                        self.update_topic(state, out);
+                        self.update_topic(now, state, out);
                     }
                 }
             }
@@ -220,19 +240,27 @@
     }
 
     /// Handles the new state of a topic.
-    fn update_topic(&mut self, state: TopicState, out: &mut Vec<Action>) {
+    fn update_topic(&mut self, now: Micros, state: TopicState, out: &mut Vec<Action>) {
         let TopicState {
             topic,
             active,
+            active_content,
             previous,
             proposal,
         } = state;
         if self.topics.set_active(topic, active) {
-            out.push(Action::Activate {
-                topic,
-                number: active,
-                previous,
-            });
+            if self.validations.is_valid(topic, active) {
+                self.catch_up.end(topic);
+                out.push(Action::Activate {
+                    topic,
+                    number: active,
+                    previous,
+                });
+            } else {
+                self.catch_up
+                    .begin(now, topic, active, previous, active_content);
+                self.stop(StopReason::UnvalidatedVersion, out);
+            }
         }
         self.proposal
             .take_if(|own| own.is_resolved_by(topic, active, proposal.is_some()));
@@ -250,6 +278,59 @@
         }
     }
 
+    /// Records the caller's validation of a version that is proposed, or active.
+    fn record_validation(
+        &mut self,
+        topic: Topic,
+        number: u64,
+        result: Result<(), String>,
+        out: &mut Vec<Action>,
+    ) {
+        match &result {
+            Ok(()) => {
+                let activated = self.catch_up.complete(topic, number);
+                out.extend(activated.map(|previous| Action::Activate {
+                    topic,
+                    number,
+                    previous,
+                }));
+            }
+            Err(reason) if self.catch_up.is_waiting_for(topic, number) => {
+                out.push(Action::ActiveVersionInvalid {
+                    topic,
+                    number,
+                    reason: reason.clone(),
+                });
+            }
+            Err(_) => {}
+        }
+        self.validations.record(topic, number, result);
+    }
+
+    /// Asks the caller to validate an active version, unless it can't be valid here.
+    fn request_validation(&self, request: ValidationRequest) -> Action {
+        let ValidationRequest {
+            topic,
+            number,
+            content,
+        } = request;
+        let checked = content.ok_or_else(|| MISSING_CONTENT.to_owned());
+        let checked = checked
+            .and_then(|content| check_format(content.format, self.formats).map(|()| content));
+        match checked {
+            Ok(content) => Action::Validate {
+                topic,
+                number,
+                content,
+            },
+            Err(reason) => Action::ActiveVersionInvalid {
+                topic,
+                number,
+                reason,
+            },
+        }
+    }
+
     /// Handles the end of the registration: the gateway stops acting, and joins again after a backoff.
     fn lose_registration(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.stop(StopReason::RegistrationExpired, out);
@@ -286,6 +367,12 @@
         if !self.serving {
             return;
         }
+        let requests = self.catch_up.take_due(now, &self.timing, self.seed);
+        out.extend(
+            requests
+                .into_iter()
+                .map(|request| self.request_validation(request)),
+        );
         self.send_heartbeat(now, out);
         if let Some(token) = self.registration.token() {
             self.send_due(now, token, out);
@@ -342,7 +429,10 @@
             .chain(proposal.and_then(PendingProposal::last_sent_at))
             .map(|at| at.saturating_add(renew_us))
             .min();
-        let due = [permission_ends, heartbeat, repeat].into_iter().flatten();
+        let catch_up = self.catch_up.next_at();
+        let due = [permission_ends, heartbeat, repeat, catch_up]
+            .into_iter()
+            .flatten();
         due.filter(|at| *at > now)
             .min()
             .unwrap_or(now.saturating_add(renew_us))
--- a/control/src/versions/client/tests.rs
+++ b/control/src/versions/client/tests.rs
@@ -21,6 +21,13 @@
 };
 const TOKEN: Token = Token(8);
 
+fn content() -> Content {
+    Content {
+        format: 1,
+        bytes: vec![5],
+    }
+}
+
 struct Gateway {
     client: Client,
     now: Micros,
@@ -41,6 +48,7 @@
     fn acting(active: u64) -> Gateway {
         let mut gateway = Gateway::serving();
         gateway.topic_state(1, 0, active, None);
+        gateway.validated(active, Ok(()));
         gateway.renew(TOKEN, gateway.now, 1);
         gateway
     }
@@ -86,9 +94,11 @@
                 bytes: Vec::new(),
             },
         });
+        let active_content = (active > 0).then(content);
         let topics = vec![TopicState {
             topic: TOPIC,
             active,
+            active_content,
             previous: 0,
             proposal,
         }];
@@ -99,6 +109,14 @@
         })
     }
 
+    fn validated(&mut self, number: u64, result: Result<(), String>) -> Vec<Action> {
+        self.handle(Event::Validated {
+            topic: TOPIC,
+            number,
+            result,
+        })
+    }
+
     fn acting_on(&self) -> Option<u64> {
         self.client
             .usable_version(TOPIC, self.now)
@@ -117,6 +135,7 @@
 fn permission_counts_from_heartbeat() {
     let mut gateway = Gateway::serving();
     gateway.topic_state(1, 0, 1, None);
+    gateway.validated(1, Ok(()));
     let sent = gateway.now;
     gateway.tick(RENEW / 2);
     let until = sent + LEASE;
@@ -154,6 +173,8 @@
     gateway.topic_state(3, 0, 2, None);
     assert_eq!(gateway.renew(TOKEN, gateway.now, 4), []);
     gateway.topic_state(4, 3, 4, None);
+    assert_eq!(gateway.renew(TOKEN, gateway.now, 4), []);
+    gateway.validated(4, Ok(()));
     assert!(matches!(
         gateway.renew(TOKEN, gateway.now, 4)[..],
         [Action::Act(_)]
@@ -166,6 +187,8 @@
 fn late_or_gapped_states_are_ignored() {
     let mut gateway = Gateway::acting(1);
     gateway.topic_state(6, 1, 5, None);
+    gateway.validated(5, Ok(()));
+    gateway.renew(TOKEN, gateway.now, 6);
     assert_eq!(gateway.acting_on(), Some(5));
     assert_eq!(gateway.topic_state(6, 1, 1, None), [], "duplicate");
     assert_eq!(gateway.topic_state(4, 0, 3, None), [], "late");
@@ -423,3 +446,121 @@
     assert_eq!(heartbeats(&gateway.tick(LEASE)), 0);
     assert_eq!(gateway.acting_on(), None);
 }
+
+fn activated(number: u64) -> Action {
+    Action::Activate {
+        topic: TOPIC,
+        number,
+        previous: 0,
+    }
+}
+
+fn validations(actions: &[Action]) -> Vec<(u64, Content)> {
+    let validation = |action: &Action| match action {
+        Action::Validate {
+            number, content, ..
+        } => Some((*number, content.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(validation).collect()
+}
+
+/// A gateway that was cut off while two versions came into force learned the number of the newest alone, and acted under it with
+/// the content that it had from before.
+#[test]
+fn returned_gateway_validates_the_active_version_before_it_acts() {
+    let mut gateway = Gateway::acting(1);
+    gateway.tick(2 * LEASE);
+    assert_eq!(gateway.acting_on(), None);
+    let returned = gateway.topic_state(6, 1, 5, None);
+    assert_eq!(validations(&returned), [(5, content())]);
+    assert_eq!(gateway.renew(TOKEN, gateway.now, 6), []);
+    assert_eq!(gateway.acting_on(), None, "registered, and not acting");
+    let invalid = gateway.validated(5, Err("another file".into()));
+    assert!(
+        matches!(&invalid[..], [Action::ActiveVersionInvalid { number: 5, reason, .. }] if reason == "another file"),
+        "{invalid:?}"
+    );
+    // It is asked for again, less and less often, and at once when the operator proposes a file.
+    let mut waits = Vec::new();
+    let mut last = gateway.now;
+    while waits.len() < 10 {
+        if !validations(&gateway.tick(RENEW / 8)).is_empty() {
+            waits.push(gateway.now - last);
+            last = gateway.now;
+        }
+    }
+    assert!(waits[0] <= RENEW && waits[9] > 16 * RENEW, "{waits:?}");
+    assert!(waits.iter().all(|wait| *wait <= 32 * RENEW), "{waits:?}");
+    let proposed = gateway.handle(Event::ProposeVersion {
+        topic: TOPIC,
+        content: content(),
+    });
+    assert_eq!(validations(&proposed), [(5, content())]);
+    let is_proposal = |action: &Action| {
+        matches!(
+            action,
+            Action::Send(ToControl::ProposeVersion { replaces: 5, .. })
+        )
+    };
+    assert!(
+        proposed.iter().any(is_proposal),
+        "where no gateway has the active version's content, one of them proposes another: {proposed:?}"
+    );
+    assert_eq!(gateway.validated(4, Ok(())), [], "another version");
+    assert_eq!(gateway.validated(5, Ok(())), [activated(5)]);
+    assert_eq!(gateway.validated(5, Ok(())), [], "duplicate");
+    gateway.renew(TOKEN, gateway.now, 6);
+    assert_eq!(gateway.acting_on(), Some(5));
+}
+
+/// A version that was validated while it was proposed is activated without another validation, and the gateway goes on acting.
+#[test]
+fn acked_version_is_activated_at_once() {
+    let mut gateway = Gateway::acting(1);
+    gateway.topic_state(2, 1, 1, Some((2, 1)));
+    gateway.validated(2, Ok(()));
+    assert_eq!(gateway.topic_state(3, 2, 2, None), [activated(2)]);
+    assert_eq!(gateway.acting_on(), Some(2));
+}
+
+/// A version that was proposed and found to be invalid here, and became active all the same, is not acted on.
+#[test]
+fn nacked_version_is_not_acted_on() {
+    let mut gateway = Gateway::acting(1);
+    gateway.topic_state(2, 1, 1, Some((2, 1)));
+    gateway.validated(2, Err("bad".into()));
+    let active = gateway.topic_state(3, 2, 2, None);
+    assert!(active.contains(&Action::Stop(StopReason::UnvalidatedVersion)));
+    assert_eq!(gateway.acting_on(), None);
+}
+
+/// Without its content, or in a format that this build does not know, an active version can't be validated.
+#[test]
+fn active_version_without_usable_content_is_invalid() {
+    let newer = Content {
+        format: 2,
+        bytes: Vec::new(),
+    };
+    for active_content in [None, Some(newer)] {
+        let mut gateway = Gateway::serving();
+        let state = TopicState {
+            topic: TOPIC,
+            active: 3,
+            active_content,
+            previous: 0,
+            proposal: None,
+        };
+        let actions = gateway.receive(ToGateway::TopicStates {
+            state_index: Index(3),
+            since: Index(0),
+            topics: vec![state],
+        });
+        let is_invalid =
+            |action: &Action| matches!(action, Action::ActiveVersionInvalid { number: 3, .. });
+        assert!(actions.iter().any(is_invalid), "{actions:?}");
+        assert_eq!(validations(&actions), []);
+        gateway.renew(TOKEN, gateway.now, 3);
+        assert_eq!(gateway.acting_on(), None);
+    }
+}
--- a/control/src/versions/client/validations.rs
+++ b/control/src/versions/client/validations.rs
@@ -46,6 +46,13 @@
         undecided
     }
 
+    /// Whether a version was proposed to this gateway, and its content was found to be valid.
+    pub(super) fn is_valid(&self, topic: Topic, number: u64) -> bool {
+        self.by_topic.get(&topic).is_some_and(|validation| {
+            validation.number == number && validation.result == Some(Ok(()))
+        })
+    }
+
     /// Ends the validation for a topic that no longer has a proposal.
     pub(super) fn close(&mut self, topic: Topic) {
         self.by_topic.remove(&topic);
@@ -102,7 +109,7 @@
 }
 
 /// Whether this build supports a content's format.
-fn check_format(needed: u32, formats: Formats) -> Result<(), String> {
+pub(super) fn check_format(needed: u32, formats: Formats) -> Result<(), String> {
     if formats.supports(needed) {
         return Ok(());
     }
--- a/control/src/versions/coordinator/applied.rs
+++ b/control/src/versions/coordinator/applied.rs
@@ -74,6 +74,10 @@
         let topics = changed.map(|(topic, status)| TopicState {
             topic,
             active: status.active_number(),
+            active_content: status
+                .active
+                .as_ref()
+                .map(|version| version.content.clone()),
             previous: status.previous,
             proposal: status
                 .proposal
--- a/control/src/versions/message.rs
+++ b/control/src/versions/message.rs
@@ -64,13 +64,16 @@
     },
 }
 
-/// The state of a topic as sent to gateways. The content of the active version is not sent again.
+/// The state of a topic as sent to gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct TopicState {
     /// The topic whose state this is.
     pub topic: Topic,
     /// The number of the active version; 0 is none.
     pub active: u64,
+    /// The content of the active version, for gateways that did not validate it while it was proposed; `None` if there is
+    /// none, or from a control member of a build that does not send it.
+    pub active_content: Option<Content>,
     /// The number of the version that was active before; 0 is none.
     pub previous: u64,
     /// The proposed version, if there is one.
--- a/control/src/versions/wire/mod.rs
+++ b/control/src/versions/wire/mod.rs
@@ -14,8 +14,8 @@
 
 /// Upper bound for the bytes of a message without the contents of versions.
 const MAX_OVERHEAD_BYTES: usize = 4 * 1024;
-/// Maximum length of a message, bytes: the proposed versions of all topics, and the other fields.
-const MAX_MESSAGE_BYTES: usize = Topic::ALL.len() * MAX_CONTENT_BYTES + MAX_OVERHEAD_BYTES;
+/// Maximum length of a message, bytes: the active and the proposed versions of all topics, and the other fields.
+const MAX_MESSAGE_BYTES: usize = 2 * Topic::ALL.len() * MAX_CONTENT_BYTES + MAX_OVERHEAD_BYTES;
 
 /// Decodes a message of at most [`MAX_MESSAGE_BYTES`].
 fn decode_bounded<M: Message + Default>(bytes: &[u8]) -> Result<M, DecodeError> {
--- a/control/src/versions/wire/tests.rs
+++ b/control/src/versions/wire/tests.rs
@@ -90,12 +90,14 @@
         TopicState {
             topic: Topic::Catalog,
             active: 4,
+            active_content: Some(content.clone()),
             previous: 2,
             proposal: Some(Version { number: 9, content }),
         },
         TopicState {
             topic: Topic::Operator,
             active: 0,
+            active_content: None,
             previous: 0,
             proposal: None,
         },
@@ -212,6 +214,7 @@
     let state = TopicState {
         topic: Topic::Catalog,
         active: 1,
+        active_content: None,
         previous: 0,
         proposal: None,
     };
@@ -238,9 +241,9 @@
     assert_eq!(truncate_reason("short"), "short");
 }
 
-/// The proposed versions of all topics fit into one message.
+/// The active and the proposed versions of all topics fit into one message.
 #[test]
-fn proposals_of_all_topics_fit_one_message() {
+fn versions_of_all_topics_fit_one_message() {
     let content = Content {
         format: u32::MAX,
         bytes: vec![255; MAX_CONTENT_BYTES],
@@ -248,6 +251,7 @@
     let state = |topic| TopicState {
         topic,
         active: u64::MAX,
+        active_content: Some(content.clone()),
         previous: u64::MAX,
         proposal: Some(Version {
             number: u64::MAX,
@@ -262,3 +266,24 @@
     };
     assert_eq!(ToGateway::decode(&state.encode()), Ok(state));
 }
+
+/// A content that belongs to another number than that of the active version would be acted on under the wrong number.
+#[test]
+fn content_of_another_number_is_an_error() {
+    use super::to_gateway::encode_with_active_number;
+    let state = TopicState {
+        topic: Topic::Operator,
+        active: 4,
+        active_content: Some(Content {
+            format: 1,
+            bytes: vec![1; 30],
+        }),
+        previous: 2,
+        proposal: None,
+    };
+    assert!(ToGateway::decode(&encode_with_active_number(&state, 4)).is_ok());
+    assert_eq!(
+        ToGateway::decode(&encode_with_active_number(&state, 5)),
+        Err(DecodeError::Unknown("number of the active version"))
+    );
+}
--- a/control/src/versions/wire/to_gateway.rs
+++ b/control/src/versions/wire/to_gateway.rs
@@ -3,7 +3,7 @@
 use super::{decode_bounded, WireRegistration};
 use crate::codec::{decode_content, decode_topic, DecodeError, WireIdentity};
 use crate::lease::{Index, NodeIdentity, Token};
-use crate::versions::{truncate_reason, Rejection, ToGateway, Topic, TopicState, Version};
+use crate::versions::{truncate_reason, Content, Rejection, ToGateway, Topic, TopicState, Version};
 use prost::Message;
 
 #[derive(Clone, PartialEq, Message)]
@@ -64,6 +64,9 @@
     previous: u64,
     #[prost(message, optional, tag = "4")]
     proposal: Option<WireVersion>,
+    /// The active version with its content; builds before this field ignore it and do not send it.
+    #[prost(message, optional, tag = "5")]
+    active_version: Option<WireVersion>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -233,6 +236,20 @@
     topics.into_iter().map(TopicState::try_from).collect()
 }
 
+/// The content of the active version. One that belongs to another number is an error, as a gateway would act on it.
+fn active_content(
+    active: u64,
+    version: Option<WireVersion>,
+) -> Result<Option<Content>, DecodeError> {
+    let Some(Version { number, content }) = version.map(Version::try_from).transpose()? else {
+        return Ok(None);
+    };
+    if number != active {
+        return Err(DecodeError::Unknown("number of the active version"));
+    }
+    Ok(Some(content))
+}
+
 impl From<&TopicState> for WireTopicState {
     fn from(state: &TopicState) -> WireTopicState {
         WireTopicState {
@@ -240,6 +257,11 @@
             active: state.active,
             previous: state.previous,
             proposal: state.proposal.as_ref().map(WireVersion::from),
+            active_version: state.active_content.as_ref().map(|content| WireVersion {
+                number: state.active,
+                format: content.format,
+                content: content.bytes.clone(),
+            }),
         }
     }
 }
@@ -252,6 +274,7 @@
             topic: decode_topic(state.topic)?,
             active: state.active,
             previous: state.previous,
+            active_content: active_content(state.active, state.active_version)?,
             proposal: state.proposal.map(Version::try_from).transpose()?,
         })
     }
@@ -316,3 +339,19 @@
         })
     }
 }
+
+/// A message with this topic state in which the content of the active version has another number.
+#[cfg(test)]
+pub(super) fn encode_with_active_number(state: &TopicState, number: u64) -> Vec<u8> {
+    let mut topic = WireTopicState::from(state);
+    if let Some(version) = &mut topic.active_version {
+        version.number = number;
+    }
+    let states = TopicStates {
+        state_index: 9,
+        since: 0,
+        topics: vec![topic],
+    };
+    let kind = Some(Kind::TopicStates(states));
+    Envelope { kind }.encode_to_vec()
+}
--- a/src/bin/asterreel/control/client.rs
+++ b/src/bin/asterreel/control/client.rs
@@ -1,12 +1,13 @@
 //! The control client of a gateway: proposes and validates versions of the operator's file, returns those that the control
 //! members activated, and reports how many requests were served under each.
 //!
-//! A version is applied only after this gateway acknowledged it, and only if this gateway's own file has the same settings.
+//! A version is applied only after this gateway found it to be valid: its own file has the same settings.
 
 use crate::front::Gateway;
 use asterreel::operator::{Evaluated, Operator, OperatorFileError};
 use asterreel::versions::{Content, Topic};
 use asterreel_control::service::{ControlEvent, ControlRequest, Handle};
+use std::collections::VecDeque;
 use std::sync::mpsc::Receiver;
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
@@ -33,7 +34,10 @@
     },
 }
 
-/// A version that this gateway acknowledged, to be applied once it is active.
+/// How many candidates are kept: one to be activated, and one that is proposed after it.
+const MAX_CANDIDATES: usize = 2;
+
+/// A version that this gateway found to be valid, to be applied once it is active here.
 struct Candidate {
     version: u64,
     evaluated: Evaluated,
@@ -43,7 +47,9 @@
 pub(crate) struct ControlClient {
     handle: Handle,
     events: Receiver<ControlEvent>,
-    candidate: Option<Candidate>,
+    candidates: VecDeque<Candidate>,
+    /// The version of the operator's file that this process has applied; 0 is none.
+    applied_version: u64,
     /// The number of requests reported so far.
     reported_requests: u64,
     /// The number of gateways according to the operator's file or the platform's settings.
@@ -88,7 +94,8 @@
         ControlClient {
             handle,
             events,
-            candidate: None,
+            candidates: VecDeque::new(),
+            applied_version: 0,
             reported_requests: 0,
             configured_gateways,
             was_unregistered: None,
@@ -112,7 +119,7 @@
             .request(ControlRequest::ProposeVersion(Topic::Operator, content));
     }
 
-    /// Acknowledges a proposed version, or rejects it with a reason. `evaluate` reads this gateway's operator's file.
+    /// Answers whether a version, proposed or already active, is valid here. `evaluate` reads this gateway's operator's file.
     pub(crate) fn answer_proposal(
         &mut self,
         topic: Topic,
@@ -142,17 +149,24 @@
             let file = evaluated.file;
             return Err(ValidationError::DifferentContent { file });
         }
-        self.candidate = Some(Candidate { version, evaluated });
+        self.candidates
+            .retain(|candidate| candidate.version != version);
+        self.candidates.push_back(Candidate { version, evaluated });
+        if self.candidates.len() > MAX_CANDIDATES {
+            self.candidates.pop_front();
+        }
         Ok(())
     }
 
-    /// Removes and returns the file that was acknowledged as this version; `None` for any other version.
+    /// Removes and returns the file that was found to be valid as this version, which counts as applied from now on; `None`
+    /// for any other version.
     pub(crate) fn take_candidate(&mut self, topic: Topic, version: u64) -> Option<Evaluated> {
         let is_activated =
-            |candidate: &mut Candidate| topic == Topic::Operator && candidate.version == version;
-        self.candidate
-            .take_if(is_activated)
-            .map(|candidate| candidate.evaluated)
+            |candidate: &Candidate| topic == Topic::Operator && candidate.version == version;
+        let position = self.candidates.iter().position(is_activated)?;
+        let candidate = self.candidates.remove(position)?;
+        self.applied_version = version;
+        Some(candidate.evaluated)
     }
 
     /// Divides what the fleet may admit among the registered gateways. While this gateway has no valid registration, the
@@ -171,15 +185,14 @@
         (before != Some(is_unregistered)).then_some(is_unregistered)
     }
 
-    /// Reports how many requests were served under the active version of the operator's file.
+    /// Reports how many requests were served under the version of the operator's file that this process has applied.
     pub(crate) fn report_requests(&mut self, gateway: &Gateway) {
         let requests = gateway.request_count();
         let count = requests - std::mem::replace(&mut self.reported_requests, requests);
-        let acting = self
-            .handle
-            .view()
-            .usable_version(Topic::Operator, gateway.core.clock.now());
-        if let Some((version, _)) = acting.filter(|_| count > 0) {
+        let now = gateway.core.clock.now();
+        let acting = self.handle.view().usable_version(Topic::Operator, now);
+        if acting.is_some() && self.applied_version > 0 && count > 0 {
+            let version = self.applied_version;
             self.handle
                 .request(ControlRequest::Acted(Topic::Operator, version, count));
         }
--- a/src/bin/asterreel/server.rs
+++ b/src/bin/asterreel/server.rs
@@ -16,7 +16,7 @@
 use signal_hook::consts::SIGHUP;
 use signal_hook::iterator::Signals;
 use std::time::Duration;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// The interval at which events of the control plane and signals are polled.
 const CONTROL_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -143,8 +143,12 @@
                     control.answer_proposal(topic, version, &content, evaluate);
                 }
                 ControlEvent::Activated(topic, version) => {
-                    if let Some(evaluated) = control.take_candidate(topic, version) {
-                        self.apply_operator_file(evaluated);
+                    match control.take_candidate(topic, version) {
+                        Some(evaluated) => self.apply_operator_file(evaluated),
+                        None => error!(
+                            ?topic,
+                            version, "a version is active here whose content was not kept; restart the gateway"
+                        ),
                     }
                 }
             }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -74,6 +74,8 @@
     dialing: Option<(usize, u64)>,
     /// Versions under validation: the number, when it ends, and the result.
     validating: Vec<(u64, u64, Result<(), String>)>,
+    /// The versions whose content this incarnation has found to be valid.
+    validated: BTreeSet<u64>,
 }
 
 struct Member {
@@ -301,6 +303,7 @@
             link: None,
             dialing: None,
             validating: Vec::new(),
+            validated: BTreeSet::new(),
         }
     }
 
@@ -399,11 +402,16 @@
                     Some(&previous),
                     "all gateways activate versions in the same order"
                 );
+                assert!(
+                    self.gateways[number].validated.contains(&version),
+                    "gateway {number} activates version {version}, whose content it has not validated"
+                );
             }
             client::Action::ProposalRejected { .. } => self.observed.rejections += 1,
             client::Action::Wake(at) => self.gateways[number].wake_at = at,
             client::Action::Act(_)
             | client::Action::Stop(_)
+            | client::Action::ActiveVersionInvalid { .. }
             | client::Action::RequestRejected(_) => {}
         }
     }
@@ -458,6 +466,9 @@
             .partition(|(_, at, _)| *at <= self.now_us);
         self.gateways[number].validating = left;
         for (version, _, result) in finished {
+            if result.is_ok() {
+                self.gateways[number].validated.insert(version);
+            }
             self.gateway_event(
                 number,
                 client::Event::Validated {
