Send a search for the primary to members that report as replicas

Cause, from the log of a trial: "attempt ended attempt=0 outcome=NotSent refusal=the member is no longer the primary". The judgement of the role at the send refused a search when a health check came between its dispatch and its write, although a search assumes no role; the request lost an attempt without asking any member.

Change: a report refuses only what was dispatched to the known primary. Another known primary still refuses both.

Evidence: search_for_the_primary_is_sent_to_a_member_that_reports_as_replica failed before and passes.

--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -40,11 +40,12 @@
         let now = self.now;
         // Advances the generator; member selection draws from a copy of it.
         self.rng.u64(..);
+        let to_known_primary = self.topology.is_known_primary(to);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         let repeatable_until = request.repeatable_until(None);
-        request.record_dispatch(to, now);
+        request.record_dispatch(to, now, to_known_primary);
         let class = request.class();
         let useful_until = request.useful_until(&self.settings.classes[class]);
         let timeout = useful_until.saturating_sub(now).max(1);
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Attempt {
     pub member: MemberId,
     pub dispatched_at: Micros,
+    /// The member was the known primary of its group at the dispatch.
+    pub to_known_primary: bool,
     pub in_flight: bool,
     pub may_have_run: bool,
     /// When its first byte was permitted to be written; `None` before, and where the caller does not ask.
@@ -111,11 +113,17 @@
     }
 
     /// Adds an attempt; until it ends it may have run.
-    pub(super) fn record_dispatch(&mut self, member: MemberId, dispatched_at: Micros) {
+    pub(super) fn record_dispatch(
+        &mut self,
+        member: MemberId,
+        dispatched_at: Micros,
+        to_known_primary: bool,
+    ) {
         self.queued = false;
         self.attempts.push(Attempt {
             member,
             dispatched_at,
+            to_known_primary,
             in_flight: true,
             may_have_run: true,
             sent_at: None,
--- a/src/policy/send_rules.rs
+++ b/src/policy/send_rules.rs
@@ -90,8 +90,8 @@
         scope != DeduplicationScope::Zone || Some(member.zone) == first_zone
     }
 
-    /// Whether a request that needs the primary may still go to a member. A member that was tried in a search for the
-    /// primary, or was demoted only because it failed, may be the primary until a report says otherwise.
+    /// Whether a request that needs the primary may still go to a member. Without a known primary, one that was the known
+    /// primary at the dispatch may still be it until a report says otherwise, and a search is for members of any role.
     fn is_role_current(&self, request: &Request, attempt: &Attempt, member: &Member) -> bool {
         if request.may_use_replica() {
             return true;
@@ -99,7 +99,9 @@
         let group = self.topology.group(member.group);
         match group.and_then(|group| group.known_primary) {
             Some(primary) => primary == member.id,
-            None => member.reported_replica_at <= attempt.dispatched_at,
+            None => {
+                !attempt.to_known_primary || member.reported_replica_at <= attempt.dispatched_at
+            }
         }
     }
 
@@ -116,8 +118,8 @@
             ConsistencyLevel::Session => request.required_position,
             ConsistencyLevel::Eventual | ConsistencyLevel::Strong | ConsistencyLevel::Write => 0,
         };
-        let group = self.topology.group(member.group);
-        let is_primary = group.is_some_and(|group| group.known_primary == Some(member.id));
-        is_primary || required == 0 || member.applied_position >= required
+        required == 0
+            || member.applied_position >= required
+            || self.topology.is_known_primary(member.id)
     }
 }
--- a/src/policy/topology.rs
+++ b/src/policy/topology.rs
@@ -84,6 +84,13 @@
         self.groups.get_mut(&id)
     }
 
+    /// Whether a member is the known primary of its group.
+    pub(super) fn is_known_primary(&self, id: MemberId) -> bool {
+        self.member(id)
+            .and_then(|member| self.group(member.group))
+            .is_some_and(|group| group.known_primary == Some(id))
+    }
+
     /// A member and its group.
     pub(super) fn member_and_group_mut(
         &mut self,
--- a/tests/failures/sends.rs
+++ b/tests/failures/sends.rs
@@ -131,6 +131,29 @@
     }
 }
 
+/// An attempt that searches for the primary was refused when a health check, between its dispatch and its send, showed what the
+/// search assumes anyway: that the member may be a replica. The request lost one of its attempts without asking any member.
+#[test]
+fn search_for_the_primary_is_sent_to_a_member_that_reports_as_replica() {
+    let (mut gateway, _) = TestGateway::new(settings(), 3);
+    for member in 0..3 {
+        gateway.report_role(member, Role::Replica);
+    }
+    gateway.now += CONNECT;
+    let (write, mut actions) = gateway.arrive(WRITE);
+    while dispatches(&actions).is_empty() {
+        gateway.now += CONNECT;
+        actions = gateway.event(Event::TimerFired);
+    }
+    let (_, candidate) = dispatches(&actions)[0];
+    gateway.now += MS;
+    gateway.report_role(candidate, Role::Replica);
+    assert_eq!(gateway.permit_send(write, 0), Ok(()));
+    let other = (candidate + 1) % 3;
+    gateway.report_role(other, Role::Primary);
+    assert_eq!(gateway.permit_send(write, 0), Err(SendRefusal::NotPrimary));
+}
+
 /// A primary whose health checks fail may still be the primary, so that a write on its way there is sent.
 #[test]
 fn write_is_sent_to_a_primary_that_failed_meanwhile() {
