Take the jitter of repeated validations from the heartbeats' random numbers

The client kept its seed a second time and repeated the hash that Heartbeats::random has. The values are the same: version-logs.txt, which records decisions under seeds, is unchanged. A doc line and a message were laid out badly.

--- a/control/src/versions/client/catch_up.rs
+++ b/control/src/versions/client/catch_up.rs
@@ -8,7 +8,6 @@
 use crate::versions::{Content, Topic};
 use crate::Micros;
 use std::collections::BTreeMap;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Maximum number of doublings of the backoff between two validations; at first it is a renewal interval.
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
@@ -94,12 +93,12 @@
         }
     }
 
-    /// The validations to request now. Each is requested again after a backoff.
+    /// The validations to request now. Each is requested again after a backoff, from which `random` takes the jitter.
     pub(super) fn take_due(
         &mut self,
         now: Micros,
         timing: &Timing,
-        seed: u64,
+        random: u64,
     ) -> Vec<ValidationRequest> {
         let due = self
             .by_topic
@@ -107,7 +106,6 @@
             .filter(|(_, version)| now >= version.next_request_at);
         due.map(|(topic, version)| {
             let backoff = timing.renew_us << version.requests;
-            let random = xxh3_64_with_seed(&now.to_le_bytes(), seed);
             let jitter = random % (backoff / JITTER_DIVISOR).max(1);
             version.next_request_at = now.saturating_add(backoff - jitter);
             version.requests = (version.requests + 1).min(MAX_BACKOFF_DOUBLINGS);
--- a/control/src/versions/client/heartbeats.rs
+++ b/control/src/versions/client/heartbeats.rs
@@ -78,7 +78,7 @@
     }
 
     /// A pseudo-random number that depends on the seed and the time.
-    fn random(&self, now: Micros) -> u64 {
+    pub(super) fn random(&self, now: Micros) -> u64 {
         xxh3_64_with_seed(&now.to_le_bytes(), self.seed)
     }
 }
--- a/control/src/versions/client/mod.rs
+++ b/control/src/versions/client/mod.rs
@@ -2,8 +2,8 @@
 //! versions of its own operator, and reports its actions for the audit.
 //!
 //! Invariants: a gateway acts only under a [`Permission`], which expires unless it is renewed; a permission is granted only
-//! if the gateway knows the latest state of every topic, and has validated the content of every active version. Messages are repeated until they are known to have arrived. The
-//! caller validates contents; nothing here does I/O or reads a clock.
+//! if the gateway knows the latest state of every topic, and has validated the content of every active version. Messages
+//! are repeated until they are known to have arrived. The caller validates contents; nothing here does I/O or reads a clock.
 //!
 //! Modules: `registration` holds the lease, `heartbeats` the schedule of heartbeats and redirections, `topics` the cached
 //! states of the topics, `validations` the validation of proposed versions, `catch_up` that of active versions which this
@@ -32,8 +32,7 @@
 
 /// Why an active version can't be validated that came without its content.
 const MISSING_CONTENT: &str =
-    "the control members run a build that does not send the content of active versions; update \
-                               them before the gateways";
+    "the control members run a build that does not send the content of active versions; update them before the gateways";
 
 /// Whether a message that is repeated each renewal interval is due: it was not sent on this link yet, or at least a renewal
 /// interval ago.
@@ -55,8 +54,6 @@
     topics: CachedTopics,
     validations: Validations,
     catch_up: CatchUp,
-    /// Spreads the repeated validations of gateways over time.
-    seed: u64,
     proposal: Option<PendingProposal>,
     reports: Reports,
 }
@@ -76,7 +73,6 @@
             topics: CachedTopics::default(),
             validations: Validations::default(),
             catch_up: CatchUp::default(),
-            seed,
             proposal: None,
             reports: Reports::default(),
         }
@@ -367,7 +363,8 @@
         if !self.serving {
             return;
         }
-        let requests = self.catch_up.take_due(now, &self.timing, self.seed);
+        let random = self.heartbeats.random(now);
+        let requests = self.catch_up.take_due(now, &self.timing, random);
         out.extend(
             requests
                 .into_iter()
