--- a/review/common-2/mod.rs
+++ b/review/common-2/mod.rs
@@ -241,16 +241,13 @@
         wait_for(limit_ms, || self.ended()).is_some()
     }
 
-    /// Peak and present resident memory, KiB.
-    pub fn memory_kib(&self) -> (u64, u64) {
+    /// The process's own (anonymous) resident memory, KiB: without the pages of its program file.
+    pub fn memory_kib(&self) -> u64 {
         let text =
             std::fs::read_to_string(format!("/proc/{}/status", self.pid)).unwrap_or_default();
-        let field = |name: &str| {
-            let line = text.lines().find_map(|line| line.strip_prefix(name));
-            line.and_then(|rest| rest.trim().trim_end_matches(" kB").trim().parse().ok())
-                .unwrap_or(0)
-        };
-        (field("VmHWM:"), field("VmRSS:"))
+        let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|rest| rest.trim().trim_end_matches(" kB").trim().parse().ok())
+            .unwrap_or(0)
     }
 }
 
