Review: name the programs of cases 6 to 10 main.rs, as review/build.sh wants

Cause: review/build.sh of the earlier review builds main.rs in each folder review/[0-9].

Change: case.rs is main.rs in all five folders, and review/build-2.sh follows. Their text and the files of the earlier review are unchanged.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 for case in 6 7 8 9 10; do
-    if [ -f "review/$case/case.rs" ]; then
-        rustc --edition 2021 -O -o "target/review-2/$case" "review/$case/case.rs"
+    if [ -f "review/$case/main.rs" ]; then
+        rustc --edition 2021 -O -o "target/review-2/$case" "review/$case/main.rs"
     fi
 done
