Give clients turns at the worker, in equal shares, polled between them

Cause: the one worker polls sockets and takes what timers wake only once no coroutine is ready, and a session that yields stays ready.

Change: a coroutine takes a turn before each step that its peer can cause (session, opening, encryption requests, what is read after a refusal, round trips, discovery, accept). After 0.2 ms it sleeps until the sockets were polled and its next turn is granted, by start-time fair queueing among owners, and among each owner's connections. An opening has its time limit also while there is always more to read.

--- a/src/bin/asterreel/discovery/mod.rs
+++ b/src/bin/asterreel/discovery/mod.rs
@@ -159,6 +159,7 @@
             if reader.is_complete() {
                 return Err(WatchError::Closed(None));
             }
+            stream.take_turn();
             match stream.read_now() {
                 Ok(Some(0)) => return Err(WatchError::Closed(None)),
                 Ok(Some(_)) => continue,
--- a/src/bin/asterreel/front/accept.rs
+++ b/src/bin/asterreel/front/accept.rs
@@ -4,6 +4,7 @@
 use super::session::Session;
 use crate::runtime::coroutine::spawn;
 use crate::runtime::net::Stream;
+use crate::runtime::turns::{Owner, Share};
 use asterreel::interface::Micros;
 use may::io::WaitIo;
 use may::net::TcpListener;
@@ -13,6 +14,9 @@
 /// Wait after a failed accept, and while the limit on sessions is reached.
 const ACCEPT_RETRY_DELAY_US: Micros = 5_000;
 
+/// What a turn is charged in which a client is accepted, microseconds.
+const ACCEPT_COST_US: Micros = 20;
+
 /// Accepts clients for as long as the process runs. When descriptors run out, the next client is accepted after a
 /// delay.
 pub(crate) fn accept(gateway: &Arc<Gateway>, listener: &TcpListener) {
@@ -22,7 +26,13 @@
         let _alarm = gateway.core.timer.alarm(at, listener.waker());
         listener.wait_io();
     };
+    let mut share = Share::new(Owner::Listener);
     loop {
+        while !share.may_step(|| listener.waker()) {
+            listener.wait_io();
+        }
+        // may waits for a client inside `accept`, so that the time it takes can't be measured.
+        share.end_turn_at(ACCEPT_COST_US);
         gateway.shed();
         if gateway.is_full() {
             pause();
@@ -30,7 +40,8 @@
         }
         match listener.accept() {
             Ok((socket, from)) => {
-                let stream = Stream::new(socket, gateway.core.timer.clone());
+                let owner = Owner::Client(from.ip());
+                let stream = Stream::new(socket, gateway.core.timer.clone(), owner);
                 // Registered before its coroutine starts, so that the limit counts it at once.
                 let registered = gateway.register(stream.waker());
                 let session = Session::new(gateway.clone(), registered, stream, from.ip());
--- a/src/bin/asterreel/front/session.rs
+++ b/src/bin/asterreel/front/session.rs
@@ -21,13 +21,14 @@
 const WRITE_TIMEOUT_US: Micros = 5_000_000;
 /// How long a client may take to send its opening messages, and one message from its first byte on.
 const MESSAGE_TIMEOUT_US: Micros = 2_500_000;
+/// How much longer it may take where there is always something to read: what has arrived while the process was held up
+/// is read first.
+const READ_BACKLOG_TIMEOUT_US: Micros = 300_000;
 /// How long input is still read and discarded after the last answer, until the client closes its side too. The limit
 /// allows for many round trips.
 const CLOSE_TIMEOUT_US: Micros = 500_000;
 /// How many bytes are read and discarded in that time at most: more than can be in transit.
 const CLOSE_MAX_BYTES: usize = 256 * 1024;
-/// The number of successful reads after which a session yields to other coroutines.
-const READS_BEFORE_YIELD: u32 = 8;
 
 /// Why a session ended early. The text is logged.
 #[derive(Debug, PartialEq, Eq, Error)]
@@ -63,7 +64,6 @@
     /// The client has closed its connection, or could not be written to while a request was open.
     pub client_gone: bool,
     number: u32,
-    read_count: u32,
     /// After an error in the extended protocol, messages up to Sync are skipped.
     skips_to_sync: bool,
 }
@@ -88,7 +88,6 @@
             client,
             client_gone: false,
             number: registered.number,
-            read_count: 0,
             skips_to_sync: false,
         }
     }
@@ -119,6 +118,7 @@
         pg::startup_response(&mut out, self.gateway.sessions.cancel_key(self.number));
         self.write(&out)?;
         while let Some(message) = self.next_message()? {
+            self.stream.take_turn();
             if message.tag == b'X' {
                 break;
             }
@@ -130,6 +130,10 @@
     /// Handles the messages that open a connection; returns false where the connection is to be closed.
     fn open(&mut self) -> Result<bool, SessionError> {
         loop {
+            self.stream.take_turn();
+            if self.is_overdue() {
+                return Err(self.fatal(Malformed("the message took too long")));
+            }
             let (opening, length) = match pg::parse_opening(self.stream.buffer.data()) {
                 Ok(Some(opening)) => opening,
                 Ok(None) if self.read_more(true)? => continue,
@@ -262,11 +266,11 @@
         } else {
             usize::MAX
         };
-        self.read_count += 1;
-        if self.read_count % READS_BEFORE_YIELD == 0 {
-            may::coroutine::yield_now();
-        }
         loop {
+            self.stream.take_turn();
+            if self.is_overdue() {
+                return Err(self.fatal(Malformed("the message took too long")));
+            }
             match self.stream.read_at_most(max_bytes) {
                 Ok(Some(0)) | Err(_) => return Err(SessionError::ClientGone),
                 Ok(Some(_)) => {
@@ -315,6 +319,15 @@
         }
     }
 
+    /// Whether the client has taken too long over its opening or a message, although it always has more to read.
+    fn is_overdue(&self) -> bool {
+        let timeout = MESSAGE_TIMEOUT_US + READ_BACKLOG_TIMEOUT_US;
+        let wait = self.mailbox.client_wait();
+        wait.is_some_and(|wait| {
+            wait.state != ReadState::Idle && self.gateway.core.clock.now() >= wait.since + timeout
+        })
+    }
+
     /// Writes all bytes; an error means that the client has disconnected or reads too slowly.
     pub(super) fn write(&mut self, bytes: &[u8]) -> Result<(), SessionError> {
         let core = self.gateway.core.clone();
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -27,7 +27,7 @@
 use crate::control::client::ControlClient;
 use crate::discovery::{FirstList, Source};
 use crate::front::{ClientLimits, Gateway};
-use crate::runtime::coroutine;
+use crate::runtime::{coroutine, turns};
 use crate::server::Server;
 use crate::startup::{Descriptors, RequestPath};
 use asterreel::config::Config;
@@ -95,6 +95,7 @@
     let timetable = evaluated.check_with_config(&config)?;
     let operator = evaluated.operator;
     configure_coroutines();
+    turns::start()?;
 
     let clock = Clock::start();
     let control_loop = operator
--- a/src/bin/asterreel/request/round_trip.rs
+++ b/src/bin/asterreel/request/round_trip.rs
@@ -15,8 +15,8 @@
 /// How long to wait, after the result, for the rest of the answer, which contains the server's report.
 const REPORT_WAIT_US: Micros = 50_000;
 
-/// The number of successful reads after which the deadline is checked, and the coroutine yields to others.
-const READS_BEFORE_YIELD: u32 = 16;
+/// The number of successful reads after which the deadline is checked.
+const READS_BETWEEN_CHECKS: u32 = 16;
 
 /// Why a round trip ended before ReadyForQuery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -58,7 +58,9 @@
         .map_err(|error| write_error(&error))?;
     drop(write_alarm);
     let deadline_alarm = stream.timer.alarm(token.deadline, stream.waker());
-    read_answer(stream, answer, token, clock, deadline_alarm)
+    let ended = read_answer(stream, answer, token, clock, deadline_alarm);
+    stream.end_turn();
+    ended
 }
 
 fn write_error(error: &WriteError<WriteRefusal>) -> ConnectionError {
@@ -91,17 +93,14 @@
         if answer.ready {
             return Ok(());
         }
+        stream.take_turn();
         match stream.read_now() {
             Ok(Some(0)) | Err(_) => return Err(ConnectionError::Lost { written }),
             Ok(Some(_)) => {
-                // A server that sends without end must neither exceed the deadline nor keep other coroutines from
-                // running.
+                // A server that sends without end must not exceed the deadline.
                 reads += 1;
-                if reads % READS_BEFORE_YIELD == 0 {
-                    if !token.is_active(clock) {
-                        return Err(ConnectionError::Stopped { written });
-                    }
-                    may::coroutine::yield_now();
+                if reads % READS_BETWEEN_CHECKS == 0 && !token.is_active(clock) {
+                    return Err(ConnectionError::Stopped { written });
                 }
                 continue;
             }
--- a/src/bin/asterreel/runtime/net.rs
+++ b/src/bin/asterreel/runtime/net.rs
@@ -2,6 +2,7 @@
 
 use crate::runtime::buffer::{Buffer, CHUNK_BYTES};
 use crate::runtime::timer::Timer;
+use crate::runtime::turns::{Owner, Share};
 use asterreel::interface::Micros;
 use asterreel_control::clock::Clock;
 use may::io::{WaitIo, WaitIoWaker};
@@ -35,11 +36,12 @@
     pub buffer: Buffer,
     /// Sets the alarms that wake coroutines waiting for this connection.
     pub timer: Arc<Timer>,
+    share: Share,
 }
 
 impl Stream {
-    /// A stream over a connected socket.
-    pub(crate) fn new(socket: TcpStream, timer: Arc<Timer>) -> Stream {
+    /// A stream over a connected socket, whose work counts against this owner's share.
+    pub(crate) fn new(socket: TcpStream, timer: Arc<Timer>, owner: Owner) -> Stream {
         // Avoids the delays of Nagle's algorithm for small messages. An error is ignored: messages arrive without the
         // option too.
         let _ = socket.set_nodelay(true);
@@ -47,6 +49,7 @@
             socket: Arc::new(socket),
             buffer: Buffer::default(),
             timer,
+            share: Share::new(owner),
         }
     }
 
@@ -61,7 +64,7 @@
         timer: &Arc<Timer>,
     ) -> io::Result<Stream> {
         let socket = TcpStream::connect_timeout(&address, Duration::from_micros(timeout.max(1)))?;
-        Ok(Stream::new(socket, timer.clone()))
+        Ok(Stream::new(socket, timer.clone(), Owner::Server(address)))
     }
 
     /// A handle that wakes the coroutine waiting for this connection.
@@ -69,6 +72,26 @@
         self.socket.waker()
     }
 
+    /// Takes a turn for the next step of the work that the peer causes, a read or the handling of a message. Waits for
+    /// the turn of this connection, unless one has just begun.
+    pub(crate) fn take_turn(&mut self) {
+        while !self.may_step() {
+            self.wait();
+        }
+    }
+
+    /// Takes a turn as [`Stream::take_turn`] does, but without waiting: the coroutine that waits for this connection is
+    /// woken when it should ask again.
+    pub(crate) fn may_step(&mut self) -> bool {
+        let socket = &self.socket;
+        self.share.may_step(|| socket.waker())
+    }
+
+    /// Ends the turn of this connection, which otherwise lasts until the coroutine waits for the connection.
+    pub(crate) fn end_turn(&mut self) {
+        self.share.end_turn();
+    }
+
     /// Reads available bytes without waiting; `None` if there are none, `Some(0)` at the end of the stream.
     pub(crate) fn read_now(&mut self) -> io::Result<Option<usize>> {
         self.read_at_most(CHUNK_BYTES)
@@ -111,6 +134,7 @@
         let mut discarded = 0;
         while discarded < max_bytes {
             self.buffer.consume(usize::MAX);
+            self.take_turn();
             match self.read_now() {
                 Ok(Some(0)) | Err(_) => return,
                 Ok(Some(count)) => discarded += count,
@@ -121,7 +145,8 @@
     }
 
     /// Waits until the socket is ready to read or write, or the waker wakes this coroutine.
-    pub(crate) fn wait(&self) {
+    pub(crate) fn wait(&mut self) {
+        self.share.end_turn();
         self.socket.wait_io();
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod operator;
 pub mod policy;
 pub mod readmission;
+pub mod scheduling;
 pub mod settings;
 pub mod statements;
 
