Bound what is held for clients and servers by limits.memory_mb

Cause: no code read limits.memory_mb. Buffers grew to 132 KiB, and to twice that by the way vectors grow; a statement was held twice while a server did not answer.

Change: every buffer, statement and answer is reserved from one budget that the configured limit gives. Read-ahead stops at the bound; a message that can't be held is read, dropped and rejected with 53300 in its turn. Input gives way to requests, these to answers, and no owner's input takes more than is left for others. Openings are bounded by 10,000 bytes, as in PostgreSQL. Sessions are bounded by memory too.

--- a/src/bin/asterreel/front/admission.rs
+++ b/src/bin/asterreel/front/admission.rs
@@ -5,13 +5,19 @@
 use super::session::Session;
 use crate::cells::CellPermit;
 use crate::postgres::Statement;
+use crate::runtime::memory::Reservation;
+use crate::runtime::turns::Owner;
 use asterreel::cells::tenants::Caller;
 use asterreel::cells::{Rejection, LOST_CELL_RETRY_AFTER_US};
 use asterreel::interface::*;
+use asterreel::memory::Purpose;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use tracing::debug;
 
+/// Requests that take no more than this are never rejected for lack of memory: long ones give way to them.
+const SMALL_REQUEST_BYTES: usize = 4 * 1024;
+
 /// What an admitted request holds until it has completed.
 pub(super) struct Admitted {
     /// The number of its class.
@@ -25,6 +31,7 @@
     /// The request's admission to the cell of its tenant, where cells are configured.
     pub cell_permit: Option<Arc<CellPermit>>,
     _open_id: OpenRequestId,
+    _memory: Reservation,
 }
 
 impl Session {
@@ -61,6 +68,7 @@
             );
             return Err(ErrorAnswer::Failed("out of time"));
         }
+        let memory = self.reserve_memory(statement)?;
         let cell_permit = self.admit_to_cell(statement, class.consistency)?;
         Ok(Admitted {
             class: class.id,
@@ -69,9 +77,20 @@
             due,
             cell_permit,
             _open_id: open_id,
+            _memory: memory,
         })
     }
 
+    /// Reserves the memory of a request: its statement, and the copy of it that is sent to a server.
+    fn reserve_memory(&self, statement: &Statement) -> Result<Reservation, ErrorAnswer> {
+        let owner = Owner::Client(self.client.address);
+        let bytes = 2 * statement.text().len();
+        if bytes <= SMALL_REQUEST_BYTES {
+            return Ok(Reservation::of_held(owner, Purpose::Request, bytes));
+        }
+        Reservation::new(owner, Purpose::Request, bytes).ok_or(ErrorAnswer::OutOfMemory)
+    }
+
     /// Admits a request to the cell of its tenant; `None` where cells are not configured.
     pub(super) fn admit_to_cell(
         &self,
--- a/src/bin/asterreel/front/error_answer.rs
+++ b/src/bin/asterreel/front/error_answer.rs
@@ -15,6 +15,8 @@
         text: &'static str,
         retry_after: Option<Micros>,
     },
+    /// Nothing ran, as the process may not hold more. The client may retry.
+    OutOfMemory,
     /// The request failed, and may have run.
     Failed(&'static str),
     /// The client sent a cancel request.
@@ -30,6 +32,11 @@
             ErrorAnswer::Rejected { text, retry_after } => {
                 (sqlstate::TOO_MANY_CONNECTIONS, *text, *retry_after)
             }
+            ErrorAnswer::OutOfMemory => (
+                sqlstate::TOO_MANY_CONNECTIONS,
+                "too much is held at the moment, try again",
+                None,
+            ),
             ErrorAnswer::Failed(text) => (sqlstate::SYSTEM_ERROR, *text, None),
             ErrorAnswer::Cancelled => (
                 sqlstate::QUERY_CANCELED,
--- a/src/bin/asterreel/front/mod.rs
+++ b/src/bin/asterreel/front/mod.rs
@@ -15,6 +15,7 @@
 mod local_statement;
 mod mailbox;
 mod open_requests;
+mod overflow;
 mod request;
 mod send_guard;
 mod session;
--- a/src/bin/asterreel/front/request.rs
+++ b/src/bin/asterreel/front/request.rs
@@ -17,6 +17,7 @@
 use crate::request::cancellation::CancellationToken;
 use crate::request::write_gate::WriteRefusal;
 use crate::runtime::coroutine::spawn;
+use crate::runtime::memory::Reservation;
 use asterreel::cells::{self, Rejection};
 use asterreel::interface::*;
 use std::collections::HashSet;
@@ -41,6 +42,8 @@
     failed_members: HashSet<MemberId>,
     /// Its tenant was moved, and it is to be admitted to the tenant's new cell.
     must_follow_tenant: bool,
+    /// The memory that the answer takes.
+    answer_memory: Option<Reservation>,
 }
 
 impl Request {
@@ -119,6 +122,7 @@
         self.report_unstarted_dispatches(&mut request);
         core.forget(request.id);
         self.log_completion(&request, received_at);
+        self.answer_memory = request.answer_memory.take();
         if self.client_gone {
             return Err(SessionError::ClientGone);
         }
@@ -140,6 +144,7 @@
             may_have_run: false,
             failed_members: HashSet::new(),
             must_follow_tenant: false,
+            answer_memory: None,
         }
     }
 
@@ -191,8 +196,14 @@
     /// Reads ahead, except while draining, and returns whether the client has closed its connection or its sending
     /// side.
     fn check_client_gone(&mut self) -> bool {
-        let is_draining = self.gateway.is_draining();
-        while !is_draining && self.stream.buffer.data().len() < pg::MAX_MESSAGE_BYTES {
+        self.is_read_ahead_full = false;
+        while !self.gateway.is_draining() {
+            let is_full = self.stream.buffer.data().len() >= pg::MAX_MESSAGE_BYTES;
+            if is_full || self.overflow.is_active() || !self.stream.make_room(usize::MAX) {
+                self.is_read_ahead_full = true;
+                break;
+            }
+            self.stream.take_turn();
             match self.stream.read_now() {
                 Ok(Some(0)) | Err(_) => return true,
                 Ok(Some(_)) => {}
@@ -319,6 +330,7 @@
         }
         if is_served && std::mem::replace(&mut request.answer_pending, false) {
             out.extend_from_slice(&result.rows);
+            request.answer_memory = result.memory;
         }
         let latency = core.clock.now().saturating_sub(attempt.started_at);
         debug!(
--- a/src/bin/asterreel/front/session.rs
+++ b/src/bin/asterreel/front/session.rs
@@ -6,8 +6,10 @@
 use super::gateway::Gateway;
 use super::local_statement::{local_statement, LocalStatement};
 use super::mailbox::{ClientWait, Mailbox, ReadState};
+use super::overflow::{Overflow, OverflowEnd};
 use super::sessions::RegisteredSession;
 use crate::postgres::{self as pg, sqlstate, Malformed, Message, Opening, Severity, Statement};
+use crate::runtime::memory::Reservation;
 use crate::runtime::net::Stream;
 use asterreel::cells::tenants;
 use asterreel::interface::Micros;
@@ -63,6 +65,12 @@
     pub client: Client,
     /// The client has closed its connection, or could not be written to while a request was open.
     pub client_gone: bool,
+    /// What the client has sent beyond what may be held for it.
+    pub overflow: Overflow,
+    /// Whether the client has sent more than is read ahead, so that its close could not be seen behind it.
+    pub is_read_ahead_full: bool,
+    /// The memory that the answer takes until it is written.
+    pub answer_memory: Option<Reservation>,
     number: u32,
     /// After an error in the extended protocol, messages up to Sync are skipped.
     skips_to_sync: bool,
@@ -87,6 +95,9 @@
             mailbox: registered.mailbox,
             client,
             client_gone: false,
+            overflow: Overflow::default(),
+            is_read_ahead_full: false,
+            answer_memory: None,
             number: registered.number,
             skips_to_sync: false,
         }
@@ -119,7 +130,7 @@
         self.write(&out)?;
         while let Some(message) = self.next_message()? {
             self.stream.take_turn();
-            if message.tag == b'X' {
+            if message.tag == pg::TERMINATE {
                 break;
             }
             self.answer(message)?;
@@ -185,6 +196,11 @@
                     self.mailbox.set_client_wait(None);
                     return Ok(Some(message));
                 }
+                Ok(None) if self.overflow.is_active() => {
+                    if !self.settle_overflow()? {
+                        return Ok(None);
+                    }
+                }
                 Ok(None) if self.read_more(false)? => {}
                 Ok(None) => return Ok(None),
                 Err(fault) => return Err(self.fatal(fault)),
@@ -192,16 +208,58 @@
         }
     }
 
+    /// Answers messages that were dropped, as far as they are complete, and reads more of one that is not. Returns false
+    /// when the connection is to be closed.
+    fn settle_overflow(&mut self) -> Result<bool, SessionError> {
+        self.stream.take_turn();
+        let mut out = Vec::new();
+        if self.overflow.reject(&mut out) {
+            self.mailbox.set_client_wait(None);
+            self.write(&out)?;
+            return Ok(true);
+        }
+        match self.overflow.end() {
+            OverflowEnd::Messages => Ok(true),
+            OverflowEnd::RestOfMessage => self.read_more(false),
+            OverflowEnd::Terminate => Ok(false),
+            OverflowEnd::Malformed(fault) => Err(self.fatal(fault)),
+        }
+    }
+
+    /// Drops the incomplete message at the end of the buffer, and all further input until what was dropped is answered.
+    fn start_overflow(&mut self) {
+        let data = self.stream.buffer.data();
+        let mut complete = 0;
+        while let Ok(Some(message)) = pg::message(&data[complete..]) {
+            complete += message.body.end;
+        }
+        self.overflow.feed(&data[complete..]);
+        self.stream.buffer.truncate(complete);
+    }
+
+    /// Reads available bytes without waiting: into the buffer, or past it while input is dropped. Returns how many, as
+    /// [`Stream::read_at_most`] does.
+    fn read_input(&mut self, max_bytes: usize) -> std::io::Result<Option<usize>> {
+        if !self.overflow.is_active() {
+            return self.stream.read_at_most(max_bytes);
+        }
+        let dropped = self.stream.read_apart(max_bytes)?;
+        Ok(dropped.map(|bytes| {
+            self.overflow.feed(&bytes);
+            bytes.len()
+        }))
+    }
+
     /// Answers the message at the front of the buffer, and removes it from the buffer.
     fn answer(&mut self, message: Message) -> Result<(), SessionError> {
         let mut out = Vec::new();
         match message.tag {
-            b'Q' => {
+            pg::QUERY => {
                 self.skips_to_sync = false;
                 self.query(message, &mut out)?;
                 pg::ready_for_query(&mut out);
             }
-            b'S' => {
+            pg::SYNC => {
                 self.stream.buffer.consume(message.body.end);
                 self.skips_to_sync = false;
                 pg::ready_for_query(&mut out);
@@ -216,7 +274,9 @@
             }
             _ => return Err(self.fatal(Malformed("unknown message"))),
         }
-        self.write(&out)
+        self.write(&out)?;
+        self.answer_memory = None;
+        Ok(())
     }
 
     /// Answers a simple query, except for the ReadyForQuery at the end.
@@ -251,7 +311,7 @@
     /// Waits for more bytes of the opening, or of the next message; returns false when the connection is to be closed.
     fn read_more(&mut self, is_opening: bool) -> Result<bool, SessionError> {
         let core = self.gateway.core.clone();
-        let has_begun = !self.stream.buffer.data().is_empty();
+        let has_begun = !self.stream.buffer.data().is_empty() || self.overflow.is_inside_message();
         let deadline = self.begin_client_wait(is_opening, has_begun);
         let _alarm = core.timer.alarm(deadline, self.stream.waker());
         // While draining, only a message that has begun is read, up to its end. Clients send unread requests again to
@@ -261,7 +321,9 @@
         if is_draining && !has_begun {
             return Ok(false);
         }
-        let max_bytes = if is_draining && !is_opening {
+        let max_bytes = if is_draining && self.overflow.is_inside_message() {
+            self.overflow.missing_bytes()
+        } else if is_draining && !is_opening {
             pg::missing_bytes(self.stream.buffer.data())
         } else {
             usize::MAX
@@ -271,7 +333,11 @@
             if self.is_overdue() {
                 return Err(self.fatal(Malformed("the message took too long")));
             }
-            match self.stream.read_at_most(max_bytes) {
+            // An opening is short.
+            if !is_opening && !self.overflow.is_active() && !self.stream.make_room(max_bytes) {
+                self.start_overflow();
+            }
+            match self.read_input(max_bytes) {
                 Ok(Some(0)) | Err(_) => return Err(SessionError::ClientGone),
                 Ok(Some(_)) => {
                     // The client is active: this session stays open, and shedding will select another one.
--- a/src/bin/asterreel/main.rs
+++ b/src/bin/asterreel/main.rs
@@ -31,6 +31,7 @@
 use crate::server::Server;
 use crate::startup::{Descriptors, RequestPath};
 use asterreel::config::Config;
+use asterreel::memory::MemoryPlan;
 use asterreel::operator::Operator;
 use asterreel::readmission::Readmission;
 use asterreel_control::clock::Clock;
@@ -166,6 +167,8 @@
         .as_ref()
         .map_or(0, |health| health.descriptors());
     let descriptors = Descriptors::divide(config.max_descriptors, for_health);
+    let memory = MemoryPlan::divide(config.memory_mb, descriptors.clients);
+    runtime::memory::set_limit(memory.held_bytes);
     let RequestPath {
         core,
         pool,
@@ -182,7 +185,7 @@
         pool,
         &config.setup,
         &config.settings,
-        ClientLimits::new(descriptors.clients, config.max_descriptors),
+        ClientLimits::new(memory.max_sessions, config.max_descriptors),
         cells,
     ));
     if let Some(pacing) = operator.readmission.clone() {
--- a/src/bin/asterreel/postgres/framing.rs
+++ b/src/bin/asterreel/postgres/framing.rs
@@ -23,7 +23,14 @@
 }
 
 /// Bytes of a message's tag and length.
-const HEADER_BYTES: usize = 5;
+pub(crate) const HEADER_BYTES: usize = 5;
+
+/// The tag of a simple query.
+pub(crate) const QUERY: u8 = b'Q';
+/// The tag of the message that asks for ReadyForQuery.
+pub(crate) const SYNC: u8 = b'S';
+/// The tag of the message that ends a session.
+pub(crate) const TERMINATE: u8 = b'X';
 
 /// The message at the front of the bytes; `None` while it is incomplete.
 ///
@@ -53,7 +60,11 @@
 }
 
 /// The length field, which counts itself, at the front of the bytes; `None` while it is incomplete.
-pub(super) fn message_length(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+///
+/// # Errors
+///
+/// A length out of bounds.
+pub(crate) fn message_length(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
     let Some(length) = bytes.first_chunk::<4>() else {
         return Ok(None);
     };
--- a/src/bin/asterreel/postgres/mod.rs
+++ b/src/bin/asterreel/postgres/mod.rs
@@ -13,7 +13,8 @@
 
 pub(crate) use answer::{Answer, QueryResult, ANSWER_TAGS};
 pub(crate) use framing::{
-    message, missing_bytes, query_string, Malformed, Message, MAX_MESSAGE_BYTES,
+    message, message_length, missing_bytes, query_string, Malformed, Message, HEADER_BYTES,
+    MAX_MESSAGE_BYTES, QUERY, SYNC, TERMINATE,
 };
 pub(crate) use messages::{
     command_complete, empty_query_response, error_response, ready_for_query, simple_query,
--- a/src/bin/asterreel/postgres/startup.rs
+++ b/src/bin/asterreel/postgres/startup.rs
@@ -4,6 +4,8 @@
 
 /// Bytes of an opening message's length and code.
 const OPENING_HEADER_BYTES: usize = 8;
+/// The longest opening message accepted, as in PostgreSQL.
+pub(crate) const MAX_OPENING_BYTES: usize = 10_000;
 /// Request codes, sent in place of a protocol version.
 const SSL_REQUEST: u32 = 80_877_103;
 const GSSAPI_REQUEST: u32 = 80_877_104;
@@ -43,6 +45,9 @@
     if length < OPENING_HEADER_BYTES {
         return Err(Malformed("startup message too short"));
     }
+    if length > MAX_OPENING_BYTES {
+        return Err(Malformed("startup message too long"));
+    }
     let Some(message) = bytes.get(..length) else {
         return Ok(None);
     };
--- a/src/bin/asterreel/probe.rs
+++ b/src/bin/asterreel/probe.rs
@@ -32,7 +32,7 @@
     };
     let end = round_trip(
         &mut connection.stream,
-        &query,
+        query,
         &gate,
         &mut answer,
         &token,
--- a/src/bin/asterreel/request/attempt.rs
+++ b/src/bin/asterreel/request/attempt.rs
@@ -9,7 +9,10 @@
 use crate::request::pool::Pool;
 use crate::request::round_trip::{round_trip, ConnectionError};
 use crate::request::write_gate::{WriteGate, WriteRefusal};
+use crate::runtime::memory::Reservation;
+use crate::runtime::turns::Owner;
 use asterreel::interface::{MemberReport, Micros, Outcome};
+use asterreel::memory::Purpose;
 use std::net::SocketAddr;
 
 /// How an attempt ended.
@@ -23,6 +26,8 @@
     pub answer_report: MemberReport,
     /// The messages of the row as the server sent them; empty unless the attempt was served.
     pub rows: Vec<u8>,
+    /// The memory that the rows take.
+    pub memory: Option<Reservation>,
 }
 
 impl AttemptResult {
@@ -32,6 +37,7 @@
             refusal: None,
             answer_report: MemberReport::default(),
             rows: Vec::new(),
+            memory: None,
         }
     }
 }
@@ -59,7 +65,7 @@
     let mut answer = Answer::default();
     let ended = round_trip(
         &mut connection.stream,
-        &query,
+        query,
         gate,
         &mut answer,
         token,
@@ -71,10 +77,13 @@
         Err(ConnectionError::Refused { refusal, .. }) => Some(refusal),
         _ => None,
     };
+    let owner = Owner::Server(address);
+    let memory = Reservation::of_held(owner, Purpose::Answer, answer.rows.len());
     AttemptResult {
         outcome,
         refusal,
         answer_report: answer.report,
         rows: answer.rows,
+        memory: Some(memory),
     }
 }
--- a/src/bin/asterreel/request/pool.rs
+++ b/src/bin/asterreel/request/pool.rs
@@ -208,7 +208,7 @@
         };
         let ended = round_trip(
             &mut connection.stream,
-            &pg::startup(),
+            pg::startup(),
             &gate,
             &mut answer,
             &token,
--- a/src/bin/asterreel/request/round_trip.rs
+++ b/src/bin/asterreel/request/round_trip.rs
@@ -42,7 +42,7 @@
 /// Why the round trip ended early; `answer` then holds what was received until then, which may include a result.
 pub(crate) fn round_trip(
     stream: &mut Stream,
-    message: &[u8],
+    message: impl AsRef<[u8]>,
     gate: &dyn WriteGate,
     answer: &mut Answer,
     token: &CancellationToken,
@@ -54,9 +54,11 @@
         .timer
         .alarm(gate.write_by(composed_at), stream.waker());
     stream
-        .write_all(message, || gate.check(composed_at))
+        .write_all(message.as_ref(), || gate.check(composed_at))
         .map_err(|error| write_error(&error))?;
     drop(write_alarm);
+    // A statement of many requests must not be held twice while a server does not answer.
+    drop(message);
     let deadline_alarm = stream.timer.alarm(token.deadline, stream.waker());
     let ended = read_answer(stream, answer, token, clock, deadline_alarm);
     stream.end_turn();
@@ -94,6 +96,9 @@
             return Ok(());
         }
         stream.take_turn();
+        if !stream.make_room(usize::MAX) {
+            return Err(ConnectionError::Stopped { written });
+        }
         match stream.read_now() {
             Ok(Some(0)) | Err(_) => return Err(ConnectionError::Lost { written }),
             Ok(Some(_)) => {
--- a/src/bin/asterreel/runtime/buffer.rs
+++ b/src/bin/asterreel/runtime/buffer.rs
@@ -26,6 +26,9 @@
 /// The most bytes of one read, and the capacity that an empty buffer may keep.
 pub(super) const CHUNK_BYTES: usize = 8 * 1024;
 
+/// A buffer that is full grows by one part in this many more than the next read needs.
+const GROWTH_DIVISOR: usize = 4;
+
 /// How many read times a buffer keeps. A full buffer that is read in complete chunks has 17 reads; clients that write byte
 /// by byte cause more, which must not take memory without bound.
 const MAX_READ_TIMES: usize = 64;
@@ -60,6 +63,46 @@
         }
     }
 
+    /// How many bytes of memory the buffer holds.
+    pub(crate) fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// The capacity that the next read of at most `max_bytes` needs; grows in steps, so that a long message is not
+    /// copied with each read.
+    pub(crate) fn capacity_for_read(&self, max_bytes: usize) -> usize {
+        let needed = self.data().len() + max_bytes.min(CHUNK_BYTES);
+        if needed <= self.capacity() || needed <= CHUNK_BYTES {
+            return self.capacity().max(needed);
+        }
+        needed + needed / GROWTH_DIVISOR
+    }
+
+    /// Drops all but the first `count` bytes.
+    pub(crate) fn truncate(&mut self, count: usize) {
+        if count >= self.data().len() {
+            return;
+        }
+        if count == 0 {
+            return self.consume(usize::MAX);
+        }
+        self.bytes.truncate(self.start + count);
+        let end = self.consumed + count as u64;
+        let kept = self.reads.partition_point(|read| read.end < end) + 1;
+        self.reads.truncate(kept);
+        if let Some(last) = self.reads.back_mut() {
+            last.end = end;
+        }
+    }
+
+    /// Gives the memory of an empty buffer back.
+    pub(crate) fn free_if_empty(&mut self) {
+        if self.data().is_empty() {
+            self.bytes = Vec::new();
+            self.start = 0;
+        }
+    }
+
     /// Calls `source.read` once, for at most `max_bytes` or [`CHUNK_BYTES`], whichever is less, and appends what it read.
     /// Returns the number of bytes read, 0 at the end of the stream.
     ///
@@ -78,6 +121,8 @@
             self.start = 0;
         }
         let filled = self.bytes.len();
+        let capacity = self.capacity_for_read(max_bytes);
+        self.bytes.reserve_exact(capacity - filled);
         self.bytes.resize(filled + max_bytes.min(CHUNK_BYTES), 0);
         let read = source.read(&mut self.bytes[filled..]);
         let count = *read.as_ref().unwrap_or(&0);
--- a/src/bin/asterreel/runtime/net.rs
+++ b/src/bin/asterreel/runtime/net.rs
@@ -1,14 +1,16 @@
 //! Sockets for coroutines: reads, writes and waits of one connection.
 
 use crate::runtime::buffer::{Buffer, CHUNK_BYTES};
+use crate::runtime::memory::Reservation;
 use crate::runtime::timer::Timer;
 use crate::runtime::turns::{Owner, Share};
 use asterreel::interface::Micros;
+use asterreel::memory::Purpose;
 use asterreel_control::clock::Clock;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags, EpollTimeout};
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +39,8 @@
     /// Sets the alarms that wake coroutines waiting for this connection.
     pub timer: Arc<Timer>,
     share: Share,
+    /// What the buffer holds.
+    memory: Reservation,
 }
 
 impl Stream {
@@ -45,11 +49,16 @@
         // Avoids the delays of Nagle's algorithm for small messages. An error is ignored: messages arrive without the
         // option too.
         let _ = socket.set_nodelay(true);
+        let purpose = match owner {
+            Owner::Client(_) => Purpose::Input,
+            Owner::Server(_) | Owner::Listener => Purpose::Answer,
+        };
         Stream {
             socket: Arc::new(socket),
             buffer: Buffer::default(),
             timer,
             share: Share::new(owner),
+            memory: Reservation::empty(owner, purpose),
         }
     }
 
@@ -104,7 +113,33 @@
                 .buffer
                 .read_from(self.timer.now(), self.socket.inner(), max_bytes)
             {
-                Ok(count) => return Ok(Some(count)),
+                Ok(count) => {
+                    self.memory.resize(self.buffer.capacity());
+                    return Ok(Some(count));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(None),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Whether the buffer may grow for a read of at most this many bytes. One chunk may always be read.
+    pub(crate) fn make_room(&mut self, max_bytes: usize) -> bool {
+        let capacity = self.buffer.capacity_for_read(max_bytes);
+        capacity <= CHUNK_BYTES || self.memory.try_resize(capacity)
+    }
+
+    /// Reads available bytes without waiting, at most one chunk, past the buffer; `None` if there are none, and no bytes
+    /// at the end of the stream.
+    pub(crate) fn read_apart(&mut self, max_bytes: usize) -> io::Result<Option<Vec<u8>>> {
+        let mut chunk = vec![0; max_bytes.min(CHUNK_BYTES)];
+        loop {
+            match self.socket.inner().read(&mut chunk) {
+                Ok(count) => {
+                    chunk.truncate(count);
+                    return Ok(Some(chunk));
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(None),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
@@ -147,6 +182,8 @@
     /// Waits until the socket is ready to read or write, or the waker wakes this coroutine.
     pub(crate) fn wait(&mut self) {
         self.share.end_turn();
+        self.buffer.free_if_empty();
+        self.memory.resize(self.buffer.capacity());
         self.socket.wait_io();
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -14,6 +14,10 @@
 const DEFAULT_NAME: &str = "asterreel";
 /// The default of `limits.sockets`.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
+/// The default of `limits.memory_mb`.
+const DEFAULT_MEMORY_MB: usize = 192;
+/// The least memory that a gateway can work with, MiB.
+const MIN_MEMORY_MB: usize = 16;
 /// The fewest file descriptors that a gateway can work with.
 const MIN_DESCRIPTORS: usize = 64;
 /// The base of `seed`.
@@ -34,6 +38,8 @@
     pub seed: u64,
     /// The most file descriptors that the process may hold; the key `limits.sockets`.
     pub max_descriptors: usize,
+    /// The most memory that the process may use, MiB; the key `limits.memory_mb`.
+    pub memory_mb: usize,
     /// The list of endpoints in the file, used until discovery has sent one; its age is not known.
     pub known_endpoints: EndpointList,
     /// The settings as they are in the file.
@@ -112,6 +118,9 @@
     /// Fewer file descriptors than a gateway needs.
     #[error("{0} is too few file descriptors; set at least {MIN_DESCRIPTORS}")]
     TooFewDescriptors(usize),
+    /// Less memory than a gateway needs.
+    #[error("{0} is too little memory; set at least {MIN_MEMORY_MB} MiB")]
+    TooLittleMemory(usize),
     /// A duration that must not be 0.
     #[error("must not be 0")]
     Zero,
@@ -180,6 +189,7 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
+    memory_mb: usize,
     sockets: usize,
 }
 
@@ -188,6 +198,9 @@
         if self.sockets < MIN_DESCRIPTORS {
             return Err(ConfigFault::TooFewDescriptors(self.sockets).at("limits.sockets"));
         }
+        if self.memory_mb < MIN_MEMORY_MB {
+            return Err(ConfigFault::TooLittleMemory(self.memory_mb).at("limits.memory_mb"));
+        }
         Ok(())
     }
 }
@@ -195,6 +208,7 @@
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
+            memory_mb: DEFAULT_MEMORY_MB,
             sockets: DEFAULT_DESCRIPTORS,
         }
     }
@@ -251,7 +265,11 @@
         let keys = [
             ("name", self.name != reloaded.name),
             ("listen", self.listen != reloaded.listen),
-            ("limits", self.max_descriptors != reloaded.max_descriptors),
+            (
+                "limits",
+                self.max_descriptors != reloaded.max_descriptors
+                    || self.memory_mb != reloaded.memory_mb,
+            ),
             ("settings", self.settings != reloaded.settings),
         ];
         let changed = keys.into_iter().filter(|(_, is_changed)| *is_changed);
@@ -297,6 +315,7 @@
             discovery_in_file: file.discovery,
             seed,
             max_descriptors: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
             known_endpoints: file.known,
             setup: file.settings,
             settings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod fuzz;
 pub mod health;
 pub mod interface;
+pub mod memory;
 pub mod operator;
 pub mod policy;
 pub mod readmission;
