See that a client has gone behind input that is left unread

Callers saw a write that waited for a primary sent on although its client had closed its connection: it had sent more than is read ahead and more than the buffers of both machines take.

Cause: the close is behind the bytes that are left unread, and can't arrive.

Change: while input is left unread during a request, the client is told client_encoding again every 50 ms, which clients skip, and a machine that has closed the connection answers with a reset.

Measured: tests/endings.rs client_close_is_seen_behind_unsent_bytes failed before (the write was sent) and passes; the nine other tests of endings.rs that name a client pass.

--- a/src/bin/asterreel/front/mod.rs
+++ b/src/bin/asterreel/front/mod.rs
@@ -10,6 +10,7 @@
 mod accept;
 mod admission;
 mod attempts;
+mod client_probe;
 mod error_answer;
 mod gateway;
 mod local_statement;
--- a/src/bin/asterreel/front/request.rs
+++ b/src/bin/asterreel/front/request.rs
@@ -130,9 +130,10 @@
     }
 
     /// Registers an admitted request with the router.
-    fn submit(&self, statement: Statement, admitted: Admitted) -> Request {
+    fn submit(&mut self, statement: Statement, admitted: Admitted) -> Request {
         // A cancel request that arrived between two requests applies to neither of them.
         self.mailbox.clear();
+        self.client_probe.stop();
         let arrival = self.arrival(&statement, &admitted);
         let id = self.gateway.core.arrive(arrival, self.mailbox.clone());
         Request {
@@ -189,6 +190,10 @@
             if decision_deadline.is_some_and(|at| self.gateway.core.clock.now() >= at) {
                 return SessionEvent::DeadlinePassed;
             }
+            let now = self.gateway.core.clock.now();
+            let next_probe = self.client_probe.run(now, &mut self.stream);
+            let _alarm =
+                next_probe.map(|at| self.gateway.core.timer.alarm(at, self.stream.waker()));
             self.stream.wait();
         }
     }
@@ -196,18 +201,20 @@
     /// Reads ahead, except while draining, and returns whether the client has closed its connection or its sending
     /// side.
     fn check_client_gone(&mut self) -> bool {
-        self.is_read_ahead_full = false;
         while !self.gateway.is_draining() {
             let is_full = self.stream.buffer.data().len() >= pg::MAX_MESSAGE_BYTES;
             if is_full || self.overflow.is_active() || !self.stream.make_room(usize::MAX) {
-                self.is_read_ahead_full = true;
+                self.client_probe.start(self.gateway.core.clock.now());
                 break;
             }
             self.stream.take_turn();
             match self.stream.read_now() {
                 Ok(Some(0)) | Err(_) => return true,
                 Ok(Some(_)) => {}
-                Ok(None) => return false,
+                Ok(None) => {
+                    self.client_probe.stop();
+                    return false;
+                }
             }
         }
         self.stream.has_peer_closed()
--- a/src/bin/asterreel/front/session.rs
+++ b/src/bin/asterreel/front/session.rs
@@ -3,6 +3,7 @@
 //! Messages are answered one after the other, in the order of their arrival. A message that breaks the framing ends the
 //! session with a FATAL error; every other one gets an answer or an error, and the session continues.
 
+use super::client_probe::ClientProbe;
 use super::gateway::Gateway;
 use super::local_statement::{local_statement, LocalStatement};
 use super::mailbox::{ClientWait, Mailbox, ReadState};
@@ -67,8 +68,8 @@
     pub client_gone: bool,
     /// What the client has sent beyond what may be held for it.
     pub overflow: Overflow,
-    /// Whether the client has sent more than is read ahead, so that its close could not be seen behind it.
-    pub is_read_ahead_full: bool,
+    /// Finds out whether a client is there that has sent more than is read ahead.
+    pub client_probe: ClientProbe,
     /// The memory that the answer takes until it is written.
     pub answer_memory: Option<Reservation>,
     number: u32,
@@ -96,7 +97,7 @@
             client,
             client_gone: false,
             overflow: Overflow::default(),
-            is_read_ahead_full: false,
+            client_probe: ClientProbe::default(),
             answer_memory: None,
             number: registered.number,
             skips_to_sync: false,
@@ -399,7 +400,11 @@
         let core = self.gateway.core.clone();
         let deadline = core.clock.now() + WRITE_TIMEOUT_US;
         let _alarm = core.timer.alarm(deadline, self.stream.waker());
-        let written = self.stream.write_until(bytes, core.clock, deadline);
+        let unsent = self.client_probe.take_unsent();
+        let written = self
+            .stream
+            .write_until(&unsent, core.clock, deadline)
+            .and_then(|()| self.stream.write_until(bytes, core.clock, deadline));
         written.map_err(|_| SessionError::ClientGone)
     }
 
--- a/src/bin/asterreel/postgres/messages.rs
+++ b/src/bin/asterreel/postgres/messages.rs
@@ -14,12 +14,8 @@
 /// The answer to a client's startup message, up to ReadyForQuery.
 pub(crate) fn startup_response(out: &mut Vec<u8>, key: CancelKey) {
     put_message(out, b'R', |out| out.extend_from_slice(&[0; 4]));
-    for (name, value) in [("server_version", "15.0"), ("client_encoding", "UTF8")] {
-        put_message(out, b'S', |out| {
-            put_cstring(out, name);
-            put_cstring(out, value);
-        });
-    }
+    parameter_status(out, "server_version", "15.0");
+    client_encoding_status(out);
     put_message(out, b'K', |out| {
         out.extend_from_slice(&key.session.to_be_bytes());
         out.extend_from_slice(&key.secret.to_be_bytes());
@@ -27,6 +23,18 @@
     ready_for_query(out);
 }
 
+/// The ParameterStatus that a client is told at its start, and that changes nothing when it is told again.
+pub(crate) fn client_encoding_status(out: &mut Vec<u8>) {
+    parameter_status(out, "client_encoding", "UTF8");
+}
+
+fn parameter_status(out: &mut Vec<u8>, name: &str, value: &str) {
+    put_message(out, b'S', |out| {
+        put_cstring(out, name);
+        put_cstring(out, value);
+    });
+}
+
 /// ReadyForQuery, which ends an answer.
 pub(crate) fn ready_for_query(out: &mut Vec<u8>) {
     put_message(out, b'Z', |out| out.push(b'I'));
--- a/src/bin/asterreel/postgres/mod.rs
+++ b/src/bin/asterreel/postgres/mod.rs
@@ -17,8 +17,8 @@
     MAX_MESSAGE_BYTES, QUERY, SYNC, TERMINATE,
 };
 pub(crate) use messages::{
-    command_complete, empty_query_response, error_response, ready_for_query, simple_query,
-    startup_response, Severity,
+    client_encoding_status, command_complete, empty_query_response, error_response,
+    ready_for_query, simple_query, startup_response, Severity,
 };
 pub(crate) use report::load_report;
 pub(crate) use startup::{
--- a/src/bin/asterreel/runtime/net.rs
+++ b/src/bin/asterreel/runtime/net.rs
@@ -187,6 +187,22 @@
         self.socket.wait_io();
     }
 
+    /// Writes as many of the bytes as the socket takes without waiting; returns how many.
+    ///
+    /// # Errors
+    ///
+    /// The errors of the socket.
+    pub(crate) fn write_now(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self.socket.inner().write(bytes) {
+            Err(error)
+                if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) =>
+            {
+                Ok(0)
+            }
+            written => written,
+        }
+    }
+
     /// Writes all bytes; `check` decides before each write, hence also after each wait, whether to go on.
     ///
     /// # Errors
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -201,6 +201,40 @@
     assert_eq!(fixture.take_dispatched_ids(), [""; 0]);
 }
 
+/// A client sent more than the buffers of its connection take and closed it, so that its own machine holds the close back behind
+/// the rest. The queued write was sent on when a primary appeared, long after the close.
+#[test]
+fn client_close_is_seen_behind_unsent_bytes() {
+    let (fixture, mut client) = Fixture::with_queued_write("first");
+    let one = query(&[&read("ahead")[..], &vec![b' '; 100_000]].concat());
+    client.0.set_nonblocking(true).expect("set");
+    let mut rest = Vec::new();
+    // Until neither side's buffers take more, also after a moment.
+    for _ in 0..5 {
+        loop {
+            if rest.is_empty() {
+                rest.clone_from(&one);
+            }
+            match client.0.write(&rest) {
+                Ok(count) => drop(rest.drain(..count)),
+                Err(error) => {
+                    assert_eq!(error.kind(), ErrorKind::WouldBlock);
+                    break;
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    drop(client);
+    // Twice as long as it may take to see the close, for a busy machine.
+    fixture.log.wait_for_line_within(
+        "session ended: the client disconnected or stopped reading",
+        Duration::from_millis(200),
+    );
+    fixture.promote_primary();
+    assert_eq!(fixture.take_dispatched_ids(), [""; 0]);
+}
+
 /// Thirty clients leave and a primary appears while the gateway is stopped: none of their requests is dispatched.
 #[test]
 fn requests_of_a_burst_of_gone_clients_are_dropped() {
