Never run a single-shot request again whose id may have run before

Callers saw an id run twice when it came again after its client had left.

Cause: an id was reserved while its request was open, and nothing was known of it afterwards.

While no further id can be remembered, single-shot requests are rejected, untouched.

--- a/src/bin/asterreel/front/admission.rs
+++ b/src/bin/asterreel/front/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests, and what the router is given about them.
 
 use super::error_answer::ErrorAnswer;
-use super::open_requests::OpenRequestId;
+use super::open_requests::{IdRefusal, OpenRequestId};
 use super::session::Session;
 use crate::cells::CellPermit;
 use crate::postgres::Statement;
@@ -30,7 +30,8 @@
     pub due: Micros,
     /// The request's admission to the cell of its tenant, where cells are configured.
     pub cell_permit: Option<Arc<CellPermit>>,
-    _open_id: OpenRequestId,
+    /// The reservation of its id.
+    pub open_id: OpenRequestId,
     _memory: Reservation,
 }
 
@@ -46,13 +47,17 @@
             .class(&statement.class)
             .ok_or(ErrorAnswer::InvalidRequest("unknown class"))?;
         // A server could mix up the answers of two open requests with the same id.
-        let open_id =
-            gateway
-                .open_requests
-                .reserve(&statement.id)
-                .ok_or(ErrorAnswer::InvalidRequest(
-                    "a request with this id is open",
-                ))?;
+        let may_repeat = class.idempotency != Idempotency::NonIdempotent;
+        let open_id = gateway
+            .open_requests
+            .reserve(&statement.id, may_repeat, gateway.core.clock.now())
+            .map_err(|refusal| match refusal {
+                IdRefusal::Open => ErrorAnswer::InvalidRequest("a request with this id is open"),
+                IdRefusal::MayHaveRun => {
+                    ErrorAnswer::InvalidRequest("a request with this id may have run")
+                }
+                IdRefusal::TooMany => ErrorAnswer::OutOfMemory,
+            })?;
         // No client waits longer than its class allows: a huge deadline must not hold capacity.
         let wait = statement.wait_ms.saturating_mul(1000).min(class.max_wait);
         let due = received_at
@@ -76,7 +81,7 @@
             consistency: class.consistency,
             due,
             cell_permit,
-            _open_id: open_id,
+            open_id,
             _memory: memory,
         })
     }
--- a/src/bin/asterreel/front/request.rs
+++ b/src/bin/asterreel/front/request.rs
@@ -36,6 +36,8 @@
     attempts: Attempts,
     /// The final answer has not been decided yet.
     answer_pending: bool,
+    /// Whether an attempt was served, also where its answer came too late.
+    was_served: bool,
     /// Whether an attempt that was not served may have run the statement.
     may_have_run: bool,
     /// The members whose connections broke during an attempt of this request.
@@ -54,6 +56,12 @@
         }
     }
 
+    /// Whether it may have run, and its class forbids that it runs twice.
+    fn must_not_run_again(&self) -> bool {
+        (self.was_served || self.may_have_run)
+            && self.admitted.idempotency == Idempotency::NonIdempotent
+    }
+
     /// Handles the refusal of an attempt by the cell of the request's tenant.
     fn refused_by_cell(&mut self, refusal: cells::SendRefusal, out: &mut Vec<u8>) {
         let is_moved = matches!(refusal.reason, Rejection::Moved(_));
@@ -119,6 +127,9 @@
                 self.follow_tenant(&mut request, out);
             }
         }
+        if request.must_not_run_again() {
+            request.admitted.open_id.remember(core.clock.now());
+        }
         self.report_unstarted_dispatches(&mut request);
         core.forget(request.id);
         self.log_completion(&request, received_at);
@@ -142,6 +153,7 @@
             admitted,
             attempts: Attempts::default(),
             answer_pending: true,
+            was_served: false,
             may_have_run: false,
             failed_members: HashSet::new(),
             must_follow_tenant: false,
@@ -328,6 +340,7 @@
         }
         let is_served = outcome == Outcome::Served;
         let is_finished = is_served || !request.answer_pending || request.must_follow_tenant;
+        request.was_served |= is_served;
         request.may_have_run |= !is_served && !outcome.proves_no_effect();
         if let Some(cell_permit) = &request.admitted.cell_permit {
             cell_permit.attempt_ended(attempt.member, outcome);
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -235,6 +235,35 @@
     assert_eq!(fixture.take_dispatched_ids(), [""; 0]);
 }
 
+/// A write that must not run twice came again with the same id after its client had left, and ran twice.
+#[test]
+fn write_that_may_have_run_is_not_run_again_under_its_id() {
+    let (statements, seen) = channel();
+    let databases = primary_and_replica(&statements);
+    let (gateway, log) =
+        start_with_databases(addresses_of(&databases), refusing_address(), |config| {
+            config
+        });
+    databases[0].gate.set(false);
+    let mut gone = Client::ready(&gateway);
+    gone.send(&query(&write("again")));
+    let sent = seen.recv_timeout(WAIT_LIMIT).expect("the write is sent");
+    assert_eq!(request_id(&sent), "again");
+    drop(gone);
+    assert!(log.wait_for_line("session ended: the client disconnected or stopped reading"));
+    databases[0].gate.set(true);
+    let mut client = Client::ready(&gateway);
+    for id in ["again", "served", "served"] {
+        client.send(&query(&write(id)));
+        let (tags, answer) = client.read_answer();
+        if tags != "TDCZ" {
+            assert_eq!(error_code(&answer), b"08P01", "{id}");
+        }
+    }
+    let later: Vec<String> = seen.try_iter().map(|sent| request_id(&sent)).collect();
+    assert_eq!(later, ["served"]);
+}
+
 /// Thirty clients leave and a primary appears while the gateway is stopped: none of their requests is dispatched.
 #[test]
 fn requests_of_a_burst_of_gone_clients_are_dropped() {
