End the primary's connections before its gate opens in the tests of repeats

Cause: the stand-in opened its gate before it ended the connections, so that the primary could answer the first attempt, and the client was served in place of 58000, which is allowed.

Change: the connections end first. Assertions are as they were.

--- a/tests/sends.rs
+++ b/tests/sends.rs
@@ -61,8 +61,9 @@
     /// Ends all connections to the primary; the startup of new ones waits from now on, and statements are answered.
     fn disconnect_primary(&self) {
         self.primary.startups.set(false);
-        self.primary.gate.set(true);
+        // The gate opens last: the primary could answer the first attempt otherwise, which is allowed, and no repeat is due.
         self.primary.disconnect_all();
+        self.primary.gate.set(true);
     }
 }
 
