Count a connection's buffer from its second chunk on

Cause: reserving the first 8 KiB of each buffer took two locks and two map operations for each wait of a connection, for bytes that the plan of each session holds already.

Change: only what a buffer holds beyond one chunk is reserved; the plan says so.

--- a/src/bin/asterreel/runtime/net.rs
+++ b/src/bin/asterreel/runtime/net.rs
@@ -114,7 +114,7 @@
                 .read_from(self.timer.now(), self.socket.inner(), max_bytes)
             {
                 Ok(count) => {
-                    self.memory.resize(self.buffer.capacity());
+                    self.count_buffer();
                     return Ok(Some(count));
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(None),
@@ -124,6 +124,13 @@
         }
     }
 
+    /// Counts what the buffer holds beyond one chunk, which is planned for each connection.
+    fn count_buffer(&mut self) {
+        let capacity = self.buffer.capacity();
+        let counted = if capacity <= CHUNK_BYTES { 0 } else { capacity };
+        self.memory.resize(counted);
+    }
+
     /// Whether the buffer may grow for a read of at most this many bytes. One chunk may always be read.
     pub(crate) fn make_room(&mut self, max_bytes: usize) -> bool {
         let capacity = self.buffer.capacity_for_read(max_bytes);
@@ -183,7 +190,7 @@
     pub(crate) fn wait(&mut self) {
         self.share.end_turn();
         self.buffer.free_if_empty();
-        self.memory.resize(self.buffer.capacity());
+        self.count_buffer();
         self.socket.wait_io();
     }
 
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -13,7 +13,8 @@
 const USED_PERCENT: usize = 85;
 /// What the process uses without clients, with its list of endpoints and the pages of its program.
 const PROCESS_BYTES: usize = 8 * MIB;
-/// What a session uses besides the bytes that it holds: its stack, its connection to a server and their bookkeeping.
+/// What a session uses besides the bytes that it holds: its stack, its connection to a server, one chunk that is read, and
+/// their bookkeeping.
 const SESSION_BYTES: usize = 20 * 1024;
 /// The least share of the memory for clients that is for bytes held, and not for sessions.
 const MIN_HELD_DIVISOR: usize = 3;
